--- /dev/null
+++ b/crates/base/src/daemon.rs
@@ -0,0 +1,15 @@
+//! Entry daemons.
+
+use crate::newtype::name;
+use crate::newtype::number;
+
+name!(
+    /// Identifies an entry daemon by the name in its settings.
+    Id
+);
+
+number!(
+    /// Counts the starts of an entry daemon; a later start has a higher number.
+    Incarnation(u64),
+    ""
+);
--- /dev/null
+++ b/crates/base/src/outcome.rs
@@ -0,0 +1,59 @@
+//! Terminal outcomes of requests.
+
+use std::time::Duration;
+
+use crate::attempt::NotStarted;
+use crate::error;
+use crate::size::Tokens;
+
+/// The single terminal outcome of an admitted request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer was delivered.
+    Done {
+        /// Tokens of the answer.
+        tokens: Tokens,
+    },
+    /// Nothing was started.
+    NotRun(Refusal),
+    /// The request started and failed.
+    Failed(error::Kind),
+    /// Whether the request ran cannot be known.
+    Unknown(error::Kind),
+}
+
+/// Why a request was not run, and when trying again makes sense.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    kind: error::Kind,
+    retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Returns the error kind.
+    pub const fn kind(&self) -> error::Kind {
+        self.kind
+    }
+
+    /// Returns when trying again makes sense.
+    pub const fn retry_after(&self) -> Option<Duration> {
+        self.retry_after
+    }
+}
+
+impl Outcome {
+    /// Makes the outcome "not run" from its proof.
+    pub fn not_run(proof: NotStarted, kind: error::Kind, retry_after: Option<Duration>) -> Self {
+        let _ = proof;
+        Self::NotRun(Refusal { kind, retry_after })
+    }
+
+    /// Tells whether the request ran.
+    pub const fn ran(&self) -> error::Ran {
+        match self {
+            Self::Done { .. } | Self::Failed(_) => error::Ran::Yes,
+            Self::NotRun(_) => error::Ran::No,
+            Self::Unknown(_) => error::Ran::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/base/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! Requests of callers.
+
+mod id;
+mod key;
+
+pub use id::Id;
+pub use key::Key;
--- /dev/null
+++ b/crates/clients/src/lib.rs
@@ -0,0 +1,1 @@
+//! Adapters for model engines, plain services and the platform.
--- /dev/null
+++ b/crates/experiment/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments with the routing decisions under a paused clock.
--- /dev/null
+++ b/crates/inventory/src/configuration.rs
@@ -0,0 +1,63 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::register::Register;
+use crate::rules::Rules;
+
+/// Version of an accepted configuration.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Version(u64);
+
+impl Version {
+    /// The version before the first accepted one.
+    pub const NONE: Self = Self(0);
+
+    /// Wraps a plain number.
+    pub const fn new(value: u64) -> Self {
+        Self(value)
+    }
+
+    /// Returns the plain number.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the next version.
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl std::fmt::Display for Version {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl std::str::FromStr for Version {
+    type Err = std::num::ParseIntError;
+
+    /// Reads a whole number.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is not a whole number.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// A register and rules that were accepted together.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+    /// Rises with each accepted change.
+    pub version: Version,
+    /// What there is.
+    pub register: Register,
+    /// How it is to be used.
+    pub rules: Rules,
+}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of entry daemons by heartbeats with incarnations.
--- /dev/null
+++ b/crates/memory/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ownership of engine memory and its reconciliation.
--- /dev/null
+++ b/crates/planner/src/lib.rs
@@ -0,0 +1,1 @@
+//! Desired engine state, store leases and fenced orders.
--- /dev/null
+++ b/crates/recovery/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retries, stream resumption and requests that crash backend servers.
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Versions of the accepted configuration and how they spread.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing, admission, account limits and long prompts.
--- /dev/null
+++ b/crates/runner/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process beside each backend server.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for model engines, plain services and the platform.
--- /dev/null
+++ b/crates/support/src/lib.rs
@@ -0,0 +1,1 @@
+//! Support for the integration tests.
--- /dev/null
+++ b/crates/wire/src/load.rs
@@ -0,0 +1,62 @@
+use kumquattiller_base::size::Tokens;
+
+use crate::link;
+
+/// What a runner process reports of its backend server.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that the backend server runs.
+    pub running: u32,
+    /// Requests admitted and not yet running.
+    pub waiting: u32,
+    /// KV memory in use or promised.
+    pub held: Tokens,
+    /// KV memory in all.
+    pub capacity: Tokens,
+    /// Prompt tokens not yet computed.
+    pub backlog: Tokens,
+    /// The runner takes no new work.
+    pub leaving: bool,
+    /// Rises with each report of one incarnation.
+    pub sequence: u64,
+    /// Prefix blocks cached since the last report.
+    pub cached: Vec<u64>,
+    /// Prefix blocks evicted since the last report.
+    pub evicted: Vec<u64>,
+    /// Cache events were lost since the last report.
+    pub gap: bool,
+}
+
+impl From<link::Load> for Load {
+    fn from(wire: link::Load) -> Self {
+        Self {
+            running: wire.running,
+            waiting: wire.waiting,
+            held: Tokens::new(wire.tokens_held),
+            capacity: Tokens::new(wire.tokens_capacity),
+            backlog: Tokens::new(wire.prefill_backlog),
+            leaving: wire.leaving,
+            sequence: wire.sequence,
+            cached: wire.cached,
+            evicted: wire.evicted,
+            gap: wire.cache_gap,
+        }
+    }
+}
+
+impl From<Load> for link::Load {
+    fn from(load: Load) -> Self {
+        Self {
+            running: load.running,
+            waiting: load.waiting,
+            tokens_held: load.held.get(),
+            tokens_capacity: load.capacity.get(),
+            prefill_backlog: load.backlog.get(),
+            leaving: load.leaving,
+            sequence: load.sequence,
+            cached: load.cached,
+            evicted: load.evicted,
+            cache_gap: load.gap,
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/kumquattiller-runner/main.rs
@@ -0,0 +1,2 @@
+//! The process beside each backend server.
+fn main() {}
--- /dev/null
+++ b/src/bin/kumquattiller/main.rs
@@ -0,0 +1,2 @@
+//! The entry daemon and the operators' command line.
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operations behind the command line.
--- /dev/null
+++ b/xtask/src/lint.rs
@@ -0,0 +1,107 @@
+//! Checks what the formatter and clippy do not: imports, file sizes and places of tests.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use crate::Outcome;
+use crate::root;
+
+/// Most lines of a file.
+const MAX_FILE_LINES: usize = 400;
+/// Folders without source of our own.
+const SKIPPED_FOLDERS: [&str; 3] = ["target", ".git", "generated"];
+
+/// The group that an import belongs to, in the order of the groups.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Group {
+    Std,
+    External,
+    Own,
+}
+
+/// Checks every Rust file of the repository.
+///
+/// # Errors
+///
+/// Fails when a file breaks a rule; each is printed.
+pub fn exec(_: pico_args::Arguments) -> Outcome {
+    let mut problems = Vec::new();
+    for file in rust_files(&root())? {
+        let text = std::fs::read_to_string(&file)?;
+        problems.extend(check(&file, &text));
+    }
+    for problem in &problems {
+        println!("{problem}");
+    }
+    if problems.is_empty() {
+        return Ok(());
+    }
+    Err(format!("{} problems", problems.len()).into())
+}
+
+/// Returns the Rust files below `folder`.
+fn rust_files(folder: &Path) -> Result<Vec<PathBuf>, std::io::Error> {
+    let mut files = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        if path.is_dir() && !SKIPPED_FOLDERS.contains(&name.as_str()) {
+            files.extend(rust_files(&path)?);
+        } else if path.extension().is_some_and(|e| e == "rs") {
+            files.push(path);
+        }
+    }
+    files.sort();
+    Ok(files)
+}
+
+/// Returns the rules that a file breaks.
+fn check(file: &Path, text: &str) -> Vec<String> {
+    let mut problems = Vec::new();
+    let count = text.lines().count();
+    if count > MAX_FILE_LINES {
+        problems.push(format!("{}: {count} lines, at most {MAX_FILE_LINES}", file.display()));
+    }
+    if text.contains("#[cfg(test)]\nmod tests {") {
+        problems.push(format!("{}: tests belong in a file of their own", file.display()));
+    }
+    problems.extend(check_imports(file, text));
+    problems
+}
+
+/// Checks that imports stand one a line and in three groups.
+fn check_imports(file: &Path, text: &str) -> Vec<String> {
+    let mut problems = Vec::new();
+    let mut last: Option<Group> = None;
+    let mut blank = false;
+    for (index, line) in text.lines().enumerate() {
+        let Some(path) = line.strip_prefix("use ") else {
+            blank = line.is_empty();
+            if !blank {
+                last = None;
+            }
+            continue;
+        };
+        let at = format!("{}:{}", file.display(), index + 1);
+        if path.contains('{') {
+            problems.push(format!("{at}: one import a line"));
+        }
+        let group = group_of(path);
+        if last.is_some_and(|last| group < last || (group == last) == blank) {
+            problems.push(format!("{at}: imports stand in three groups, std, external, own"));
+        }
+        last = Some(group);
+        blank = false;
+    }
+    problems
+}
+
+/// Returns the group of an import's path.
+fn group_of(path: &str) -> Group {
+    let first = path.split("::").next().unwrap_or_default();
+    match first.trim_end_matches(';') {
+        "std" | "core" | "alloc" => Group::Std,
+        "crate" | "self" | "super" => Group::Own,
+        _ => Group::External,
+    }
+}
