clients: adapters for engine, plain service and platform

Cause: the programs need one adapter for each outside system. Ruled out: retries inside the adapters, since only the caller knows whether a repeat is harmless; faults are sorted by what they prove instead. Conclusion: Unsent proves that nothing was started, Lost does not.

--- /dev/null
+++ b/crates/clients/src/engine/events.rs
@@ -0,0 +1,45 @@
+use std::pin::Pin;
+
+use eventsource_stream::Eventsource;
+use futures::Stream;
+use futures::StreamExt;
+use kumquattiller_dialect::engine::Event;
+
+use crate::Fault;
+
+/// Data of the event after the last token.
+const END: &str = "[DONE]";
+
+type Items = Pin<Box<dyn Stream<Item = Result<String, Fault>> + Send>>;
+
+/// The events of one stream.
+pub struct Events {
+    items: Items,
+}
+
+impl Events {
+    pub(crate) fn new(response: reqwest::Response) -> Self {
+        let items = response.bytes_stream().eventsource().map(|item| match item {
+            Ok(event) => Ok(event.data),
+            Err(error) => Err(Fault::Lost(error.to_string())),
+        });
+        Self { items: Box::pin(items) }
+    }
+
+    /// Returns the next event, or `None` after the engine ended the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection ends before the end of the stream or an event is malformed.
+    pub async fn next(&mut self) -> Result<Option<Event>, Fault> {
+        match self.items.next().await {
+            None => Err(Fault::Lost("stream ended without its end".to_owned())),
+            Some(Err(fault)) => Err(fault),
+            Some(Ok(data)) if data == END => Ok(None),
+            Some(Ok(data)) => match serde_json::from_str(&data) {
+                Ok(event) => Ok(Some(event)),
+                Err(error) => Err(Fault::Malformed(error.to_string())),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/clients/src/engine/mod.rs
@@ -0,0 +1,9 @@
+//! Adapter for model engines.
+
+mod client;
+mod error;
+mod events;
+
+pub use client::Client;
+pub use error::Error;
+pub use events::Events;
--- /dev/null
+++ b/crates/clients/src/service/client.rs
@@ -0,0 +1,60 @@
+use reqwest::Method;
+use reqwest::header::CONTENT_TYPE;
+
+use crate::Fault;
+use crate::Transport;
+use crate::service::Answer;
+use crate::service::Call;
+
+/// Header that carries the caller's key on to the service.
+const KEY_HEADER: &str = "Idempotency-Key";
+
+/// Calls one plain service.
+#[derive(Debug, Clone)]
+pub struct Client {
+    transport: Transport,
+    url: String,
+}
+
+impl Client {
+    /// Sets up calls to the service at base URL `url`.
+    pub fn new(transport: Transport, url: &str) -> Self {
+        Self { transport, url: url.trim_end_matches('/').to_owned() }
+    }
+
+    /// Makes a call and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the service does not answer in time.
+    pub async fn call(&self, call: Call) -> Result<Answer, Fault> {
+        let method = Method::from_bytes(call.method.as_bytes())
+            .map_err(|error| Fault::Unsent(error.to_string()))?;
+        let mut request = self
+            .transport
+            .http()
+            .request(method, format!("{}{}", self.url, call.path))
+            .header(CONTENT_TYPE, call.content_type)
+            .timeout(call.timeout)
+            .body(call.body);
+        if let Some(key) = call.key {
+            request = request.header(KEY_HEADER, key);
+        }
+        let response = request.send().await.map_err(|error| Fault::of(&error))?;
+        let status = response.status().as_u16();
+        let content_type = content_type_of(&response);
+        let body = response.bytes().await.map_err(|error| Fault::Lost(error.to_string()))?;
+        Ok(Answer { status, content_type, body })
+    }
+
+    /// Tells whether the service accepts connections.
+    pub async fn is_alive(&self) -> bool {
+        let request = self.transport.http().get(format!("{}/healthz", self.url));
+        !matches!(request.send().await, Err(error) if error.is_connect())
+    }
+}
+
+fn content_type_of(response: &reqwest::Response) -> String {
+    let value = response.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    value.unwrap_or("application/octet-stream").to_owned()
+}
