runner: links, jobs and work on engines and plain services

Cause: the thin path needs the process that alone talks to its backend server. Ruled out: streaming straight from the engine to one link, since a second entry daemon could then not continue a stream; each job has a buffer that any link subscribes to at an offset. Conclusion: an attempt has a proof of not being started only while no earlier attempt of its request was lost.

--- a/crates/base/src/attempt/proof.rs
+++ b/crates/base/src/attempt/proof.rs
@@ -1,7 +1,7 @@
 /// Proof that an attempt started nothing on any backend server.
 ///
-/// Only [`Attempt::not_started`](crate::attempt::Attempt::not_started) makes one. A request with
-/// several attempts needs the proof of each: an attempt that was sent and lost has none.
+/// Only `not_started` of an [`Attempt`](crate::attempt::Attempt) that is unsent or refused makes
+/// one, and only when no earlier attempt of the request was lost.
 #[derive(Debug)]
 pub struct NotStarted(());
 
--- a/crates/base/src/attempt/state.rs
+++ b/crates/base/src/attempt/state.rs
@@ -1,3 +1,5 @@
+use std::marker::PhantomData;
+
 use crate::attempt::NotStarted;
 use crate::attempt::Number;
 use crate::request;
@@ -19,7 +21,9 @@
 pub struct Attempt<S> {
     request: request::Id,
     number: Number,
-    state: S,
+    /// No earlier attempt was lost.
+    clean: bool,
+    state: PhantomData<S>,
 }
 
 impl<S> Attempt<S> {
@@ -33,51 +37,59 @@
         self.number
     }
 
-    fn into_state<T>(self, state: T) -> Attempt<T> {
-        Attempt { request: self.request, number: self.number, state }
+    fn into_state<T>(self) -> Attempt<T> {
+        Attempt {
+            request: self.request,
+            number: self.number,
+            clean: self.clean,
+            state: PhantomData,
+        }
     }
 }
 
 impl Attempt<Unsent> {
     /// Begins the first attempt of a request.
     pub const fn first(request: request::Id) -> Self {
-        Self { request, number: Number::FIRST, state: Unsent }
+        Self { request, number: Number::FIRST, clean: true, state: PhantomData }
     }
 
     /// Marks the attempt as sent; from here on it may have started.
     pub fn send(self) -> Attempt<Sent> {
-        self.into_state(Sent)
+        self.into_state()
     }
 
-    /// Proves that nothing was started.
-    pub fn not_started(self) -> NotStarted {
-        let Unsent = self.state;
-        NotStarted::new()
+    /// Proves that nothing was started, unless an earlier attempt was lost.
+    pub fn not_started(self) -> Option<NotStarted> {
+        self.clean.then(NotStarted::new)
     }
 }
 
 impl Attempt<Sent> {
     /// Records that the runner refused the attempt before starting anything.
     pub fn refuse(self) -> Attempt<Refused> {
-        self.into_state(Refused)
+        self.into_state()
     }
 
     /// Begins the next attempt of an idempotent request after this one was lost.
     pub fn again(self) -> Attempt<Unsent> {
-        let Sent = self.state;
-        Attempt { request: self.request, number: self.number.next(), state: Unsent }
+        Attempt {
+            request: self.request,
+            number: self.number.next(),
+            clean: false,
+            state: PhantomData,
+        }
     }
 }
 
 impl Attempt<Refused> {
     /// Begins the next attempt.
     pub fn again(self) -> Attempt<Unsent> {
-        Attempt { request: self.request, number: self.number.next(), state: Unsent }
+        let number = self.number.next();
+        Attempt { request: self.request, number, clean: self.clean, state: PhantomData }
     }
 
-    /// Proves that this attempt started nothing.
-    pub fn not_started(self) -> NotStarted {
-        let Refused = self.state;
-        NotStarted::new()
+    /// Proves that nothing was started, unless an earlier attempt was lost.
+    pub fn not_started(self) -> Option<NotStarted> {
+        self.clean.then(NotStarted::new)
     }
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -4,11 +4,14 @@
 //! [`Welcome`](kumquattiller_wire::link::Welcome) done. Its [`Sender`] can be cloned; bodies are
 //! cut into parts so that frames of other requests go in between.
 
+mod clock;
 mod closed;
 mod connection;
 mod identity;
+pub mod incarnation;
 mod sender;
 
+pub use clock::Clock;
 pub use closed::Closed;
 pub use connection::Link;
 pub use connection::Receiver;
--- a/crates/link/src/sender.rs
+++ b/crates/link/src/sender.rs
@@ -58,6 +58,11 @@
         Ok(())
     }
 
+    /// Waits until the link is closed.
+    pub async fn closed(&self) {
+        self.queue.closed().await;
+    }
+
     /// Tells whether the link is closed.
     pub fn is_closed(&self) -> bool {
         self.queue.is_closed()
--- /dev/null
+++ b/crates/runner/src/http/mod.rs
@@ -0,0 +1,44 @@
+//! Health and metrics over HTTP.
+
+use poem::EndpointExt;
+use poem::Route;
+use poem::Server;
+use poem::get;
+use poem::handler;
+use poem::http::StatusCode;
+use poem::listener::TcpListener;
+use poem::web::Data;
+use tokio::task::JoinHandle;
+
+use crate::Process;
+
+/// Starts the HTTP server.
+///
+/// # Errors
+///
+/// Fails when the address cannot be listened on.
+pub async fn start(process: Process) -> std::io::Result<JoinHandle<()>> {
+    let address = process.settings().http_address;
+    let acceptor = poem::listener::Listener::into_acceptor(TcpListener::bind(address)).await?;
+    let routes = Route::new().at("/healthz", get(healthz)).at("/readyz", get(readyz)).data(process);
+    Ok(tokio::spawn(async move {
+        if let Err(error) = Server::new_with_acceptor(acceptor).run(routes).await {
+            log::error!("HTTP server ended: {error}");
+        }
+    }))
+}
+
+/// Answers as long as the process runs.
+#[handler]
+fn healthz() -> &'static str {
+    "ok\n"
+}
+
+/// Answers whether new work is taken.
+#[handler]
+fn readyz(Data(process): Data<&Process>) -> (StatusCode, &'static str) {
+    if process.is_leaving() {
+        return (StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
+    }
+    (StatusCode::OK, "ready\n")
+}
--- /dev/null
+++ b/crates/runner/src/job/mod.rs
@@ -0,0 +1,11 @@
+//! Jobs: attempts that this process runs or has run.
+
+mod end;
+mod entry;
+mod part;
+mod table;
+
+pub use end::End;
+pub use entry::Job;
+pub use part::Part;
+pub use table::Table;
--- /dev/null
+++ b/crates/runner/src/link/mod.rs
@@ -0,0 +1,9 @@
+//! Links from entry daemons.
+
+mod frames;
+mod incoming;
+mod listener;
+mod session;
+mod subscription;
+
+pub use listener::run;
--- /dev/null
+++ b/crates/runner/src/link/session.rs
@@ -0,0 +1,201 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use kumquattiller_base::error;
+use kumquattiller_base::size::Tokens;
+use kumquattiller_link::Identity;
+use kumquattiller_link::Receiver;
+use kumquattiller_link::Sender;
+use kumquattiller_wire::Attempt;
+use kumquattiller_wire::Body;
+use kumquattiller_wire::Error;
+use kumquattiller_wire::link;
+
+use crate::Process;
+use crate::admission::Promise;
+use crate::job::Job;
+use crate::link::frames;
+use crate::link::incoming::Incoming;
+use crate::link::subscription;
+use crate::work;
+
+/// One link from an entry daemon.
+#[derive(Debug)]
+pub struct Session {
+    process: Process,
+    sender: Sender,
+    peer: Identity,
+    incoming: HashMap<Attempt, Incoming>,
+}
+
+impl Session {
+    /// Begins a session on an open link.
+    pub fn new(process: Process, sender: Sender, peer: Identity) -> Self {
+        Self { process, sender, peer, incoming: HashMap::new() }
+    }
+
+    /// Serves frames until the link closes.
+    pub async fn run(mut self, mut receiver: Receiver) {
+        loop {
+            let body = match receiver.next().await {
+                Ok(Some(body)) => body,
+                Ok(None) => return,
+                Err(error) => {
+                    log::debug!(peer = self.peer.name.as_str(); "link failed: {error}");
+                    return;
+                }
+            };
+            if let Err(error) = self.serve(body).await {
+                log::warn!(peer = self.peer.name.as_str(); "frame was dropped: {error}");
+            }
+        }
+    }
+
+    /// Serves one frame.
+    async fn serve(&mut self, body: Body) -> Result<(), Error> {
+        match body {
+            Body::Start(start) => self.start(start).await,
+            Body::BodyPart(part) => self.body_part(&part).await,
+            Body::Cancel(cancel) => self.cancel(cancel),
+            Body::Resume(resume) => self.resume(&resume).await,
+            Body::Heartbeat(heartbeat) => self.heartbeat(&heartbeat).await,
+            _ => Err(Error::Invalid("body")),
+        }
+    }
+
+    /// Admits or refuses a start.
+    async fn start(&mut self, start: link::Start) -> Result<(), Error> {
+        let attempt = Attempt::from_field(start.attempt)?;
+        if let Some(job) = self.process.jobs().get(attempt) {
+            self.subscribe(job, 0);
+            return Ok(());
+        }
+        match self.admit(&start) {
+            Ok(promise) => {
+                self.incoming.insert(attempt, Incoming::new(start, promise));
+                self.run_if_complete(attempt).await
+            }
+            Err(kind) => {
+                let load = self.process.load();
+                self.send(frames::refused(attempt, kind, None, load)).await
+            }
+        }
+    }
+
+    /// Promises memory for a start, or tells why it is refused.
+    fn admit(&self, start: &link::Start) -> Result<Promise, error::Kind> {
+        if self.process.is_leaving() {
+            return Err(error::Kind::Leaving);
+        }
+        if start.left_ms == 0 {
+            return Err(error::Kind::DeadlineExpired);
+        }
+        if start.incarnation != 0 && start.incarnation != self.process.identity().incarnation {
+            return Err(error::Kind::NoRunner);
+        }
+        let tokens = Tokens::new(start.prompt_tokens.saturating_add(start.max_tokens));
+        self.process.memory().promise(tokens).ok_or(error::Kind::MemoryFull)
+    }
+
+    /// Appends a part of a body.
+    async fn body_part(&mut self, part: &link::Body) -> Result<(), Error> {
+        let attempt = Attempt::from_field(part.attempt)?;
+        let Some(incoming) = self.incoming.get_mut(&attempt) else {
+            return Ok(());
+        };
+        if !incoming.append(part) {
+            self.incoming.remove(&attempt);
+            let load = self.process.load();
+            let kind = error::Kind::MalformedBody;
+            return self.send(frames::refused(attempt, kind, None, load)).await;
+        }
+        self.run_if_complete(attempt).await
+    }
+
+    /// Runs a start whose body is complete.
+    async fn run_if_complete(&mut self, attempt: Attempt) -> Result<(), Error> {
+        if !self.incoming.get(&attempt).is_some_and(Incoming::is_complete) {
+            return Ok(());
+        }
+        let Some(incoming) = self.incoming.remove(&attempt) else {
+            return Ok(());
+        };
+        let (start, body, promise) = incoming.into_parts();
+        self.accept(attempt, start, body, promise).await
+    }
+
+    /// Creates the job, tells the entry daemon and starts the work.
+    async fn accept(
+        &self,
+        attempt: Attempt,
+        start: link::Start,
+        body: Bytes,
+        promise: Promise,
+    ) -> Result<(), Error> {
+        let (job, added) = self.process.jobs().add(Job::new(attempt, start));
+        let accepted = link::Accepted {
+            attempt: Some(attempt.into()),
+            incarnation: self.process.identity().incarnation,
+            load: Some(self.process.load().into()),
+        };
+        self.send(Body::Accepted(accepted)).await?;
+        self.subscribe(Arc::clone(&job), 0);
+        if added {
+            self.process.spawn(work::run(self.process.clone(), job, body, promise));
+        }
+        Ok(())
+    }
+
+    /// Cancels an attempt.
+    fn cancel(&mut self, cancel: link::Cancel) -> Result<(), Error> {
+        let attempt = Attempt::from_field(cancel.attempt)?;
+        self.incoming.remove(&attempt);
+        if let Some(job) = self.process.jobs().get(attempt) {
+            job.cancel().cancel();
+        }
+        Ok(())
+    }
+
+    /// Continues an attempt that was started through another link.
+    async fn resume(&self, resume: &link::Resume) -> Result<(), Error> {
+        let attempt = Attempt::from_field(resume.attempt)?;
+        let own = resume.incarnation == self.process.identity().incarnation;
+        let job = self.process.jobs().get(attempt).filter(|job| {
+            own && job.start().account == resume.account && resume.offset <= job.next()
+        });
+        match job {
+            Some(job) => {
+                self.subscribe(job, resume.offset);
+                Ok(())
+            }
+            None => {
+                let load = self.process.load();
+                self.send(frames::refused(attempt, error::Kind::ResumeGone, None, load)).await
+            }
+        }
+    }
+
+    /// Answers a heartbeat with the load.
+    async fn heartbeat(&self, heartbeat: &link::Heartbeat) -> Result<(), Error> {
+        if heartbeat.reply {
+            return Ok(());
+        }
+        let reply = link::Heartbeat {
+            config_version: self.process.config_version(),
+            load: Some(self.process.load().into()),
+            nonce: heartbeat.nonce,
+            reply: true,
+        };
+        self.send(Body::Heartbeat(reply)).await
+    }
+
+    fn subscribe(&self, job: Arc<Job>, offset: u64) {
+        let sender = self.sender.clone();
+        tokio::spawn(subscription::run(self.process.clone(), sender, job, offset));
+    }
+
+    async fn send(&self, body: Body) -> Result<(), Error> {
+        self.sender.send(body).await.map_err(|_| Error::Io(std::io::ErrorKind::BrokenPipe.into()))
+    }
+}
--- /dev/null
+++ b/crates/runner/src/process.rs
@@ -0,0 +1,194 @@
+//! The shared state of a runner process, and its start and stop.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use kumquattiller_base::size::Tokens;
+use kumquattiller_base::time::Moment;
+use kumquattiller_clients::Transport;
+use kumquattiller_clients::engine;
+use kumquattiller_clients::service;
+use kumquattiller_link::Clock;
+use kumquattiller_link::Identity;
+use kumquattiller_link::incarnation;
+use kumquattiller_wire::Load;
+use tokio::net::TcpListener;
+use tokio::time::interval;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::Settings;
+use crate::admission::Account;
+use crate::http;
+use crate::job;
+use crate::link;
+
+/// Time between sweeps of the job table.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A runner process; clones share one state.
+#[derive(Debug, Clone)]
+pub struct Process {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    settings: Settings,
+    identity: Identity,
+    clock: Clock,
+    engine: engine::Client,
+    service: service::Client,
+    memory: Account,
+    jobs: job::Table,
+    work: TaskTracker,
+    leaving: AtomicBool,
+    stopped: CancellationToken,
+    config_version: AtomicU64,
+    load_sequence: AtomicU64,
+}
+
+impl Process {
+    /// Sets up the state; nothing runs yet.
+    pub fn new(settings: Settings) -> Self {
+        let transport = Transport::new();
+        let identity = Identity {
+            name: settings.id.to_string(),
+            incarnation: incarnation::draw(),
+            zone: settings.zone.to_string(),
+            role: "runner".to_owned(),
+        };
+        let inner = Inner {
+            engine: engine::Client::new(transport.clone(), &settings.backend.url),
+            service: service::Client::new(transport, &settings.backend.url),
+            memory: Account::new(settings.backend.memory),
+            settings,
+            identity,
+            clock: Clock::start(),
+            jobs: job::Table::default(),
+            work: TaskTracker::new(),
+            leaving: AtomicBool::new(false),
+            stopped: CancellationToken::new(),
+            config_version: AtomicU64::new(0),
+            load_sequence: AtomicU64::new(0),
+        };
+        Self { inner: Arc::new(inner) }
+    }
+
+    /// Serves until `shutdown` completes, then finishes the work and returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on.
+    pub async fn run(self, shutdown: impl Future<Output = ()>) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.settings().link_address).await?;
+        let health = http::start(self.clone()).await?;
+        log::info!(
+            runner:% = self.settings().id, address:% = self.settings().link_address;
+            "runner process serves"
+        );
+        tokio::spawn(link::run(self.clone(), listener));
+        tokio::spawn(self.clone().sweep());
+        shutdown.await;
+        self.leave();
+        self.finish().await;
+        health.abort();
+        Ok(())
+    }
+
+    /// Refuses new work from now on.
+    pub fn leave(&self) {
+        if !self.inner.leaving.swap(true, Ordering::SeqCst) {
+            log::info!(runner:% = self.settings().id; "runner takes no new work");
+        }
+    }
+
+    /// Waits for the work and for the delivery of its answers.
+    async fn finish(&self) {
+        self.inner.work.close();
+        self.inner.work.wait().await;
+        self.inner.stopped.cancel();
+        log::info!(runner:% = self.settings().id; "runner process ends");
+    }
+
+    /// Drops old answers and cancels orphans until the process stops.
+    async fn sweep(self) {
+        let mut ticks = interval(SWEEP_INTERVAL);
+        while !self.inner.stopped.is_cancelled() {
+            ticks.tick().await;
+            self.inner.jobs.sweep(self.now());
+        }
+    }
+
+    /// Runs a task that a graceful stop waits for.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.inner.work.spawn(task);
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.inner.settings
+    }
+
+    /// Returns who the process is on links.
+    pub fn identity(&self) -> &Identity {
+        &self.inner.identity
+    }
+
+    /// Returns the present moment.
+    pub fn now(&self) -> Moment {
+        self.inner.clock.now()
+    }
+
+    /// Returns the engine's adapter.
+    pub fn engine(&self) -> &engine::Client {
+        &self.inner.engine
+    }
+
+    /// Returns the plain service's adapter.
+    pub fn service(&self) -> &service::Client {
+        &self.inner.service
+    }
+
+    /// Returns the account of the engine's memory.
+    pub fn memory(&self) -> &Account {
+        &self.inner.memory
+    }
+
+    /// Returns the jobs.
+    pub fn jobs(&self) -> &job::Table {
+        &self.inner.jobs
+    }
+
+    /// Tells whether new work is refused.
+    pub fn is_leaving(&self) -> bool {
+        self.inner.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Returns the token that is cancelled once the process has finished its work.
+    pub fn stopped(&self) -> &CancellationToken {
+        &self.inner.stopped
+    }
+
+    /// Returns the configuration version in force here.
+    pub fn config_version(&self) -> u64 {
+        self.inner.config_version.load(Ordering::SeqCst)
+    }
+
+    /// Reports the load of the backend server.
+    pub fn load(&self) -> Load {
+        Load {
+            running: self.inner.jobs.running() as u32,
+            waiting: 0,
+            held: self.inner.memory.promised(),
+            capacity: self.inner.memory.capacity(),
+            backlog: Tokens::ZERO,
+            leaving: self.is_leaving(),
+            sequence: self.inner.load_sequence.fetch_add(1, Ordering::Relaxed),
+            ..Load::default()
+        }
+    }
+}
