--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,170 @@
+//! The shared state of an entry daemon, and its start and stop.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use kumquattiller_base::request;
+use kumquattiller_base::time::Moment;
+use kumquattiller_clients::Transport;
+use kumquattiller_clients::platform;
+use kumquattiller_inventory::configuration;
+use kumquattiller_link::Clock;
+use kumquattiller_link::Identity;
+use kumquattiller_link::incarnation;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::Settings;
+use crate::http;
+use crate::runners::Pool;
+use crate::snapshot::Snapshot;
+use crate::source;
+
+/// An entry daemon; clones share one state.
+#[derive(Debug, Clone)]
+pub struct Daemon {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    settings: Settings,
+    identity: Identity,
+    clock: Clock,
+    platform: platform::Client,
+    snapshots: watch::Sender<Arc<Snapshot>>,
+    runners: Pool,
+    work: TaskTracker,
+    leaving: AtomicBool,
+    refusing: AtomicBool,
+    stopped: CancellationToken,
+}
+
+impl Daemon {
+    /// Sets up the state; nothing runs yet.
+    pub fn new(settings: Settings) -> Self {
+        let identity = Identity {
+            name: settings.id.to_string(),
+            incarnation: incarnation::draw(),
+            zone: settings.zone.to_string(),
+            role: "entry".to_owned(),
+        };
+        let inner = Inner {
+            platform: platform::Client::new(Transport::new(), &settings.platform_url),
+            settings,
+            identity,
+            clock: Clock::start(),
+            snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
+            runners: Pool::default(),
+            work: TaskTracker::new(),
+            leaving: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
+            stopped: CancellationToken::new(),
+        };
+        Self { inner: Arc::new(inner) }
+    }
+
+    /// Serves until `shutdown` completes, then finishes all requests and returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on.
+    pub async fn run(self, shutdown: impl Future<Output = ()>) -> std::io::Result<()> {
+        let server = http::start(self.clone()).await?;
+        log::info!(
+            daemon:% = self.settings().id, address:% = self.settings().http_address;
+            "entry daemon serves"
+        );
+        tokio::spawn(source::run(self.clone()));
+        shutdown.await;
+        self.stop(server).await;
+        Ok(())
+    }
+
+    /// Fails readiness, then refuses requests, then waits for those under way.
+    async fn stop(&self, server: http::Server) {
+        self.inner.leaving.store(true, Ordering::SeqCst);
+        log::info!(daemon:% = self.settings().id; "entry daemon is leaving");
+        tokio::time::sleep(Duration::from_millis(self.settings().drain_grace_ms)).await;
+        self.inner.refusing.store(true, Ordering::SeqCst);
+        self.inner.work.close();
+        self.inner.work.wait().await;
+        server.stop().await;
+        self.inner.stopped.cancel();
+        log::info!(daemon:% = self.settings().id; "entry daemon ends");
+    }
+
+    /// Runs a task that a graceful stop waits for.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.inner.work.spawn(task);
+    }
+
+    /// Draws the id of a new request.
+    pub fn new_request_id(&self) -> request::Id {
+        request::Id::from_u128(uuid::Uuid::now_v7().as_u128())
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.inner.settings
+    }
+
+    /// Returns who the daemon is on links.
+    pub fn identity(&self) -> &Identity {
+        &self.inner.identity
+    }
+
+    /// Returns the present moment.
+    pub fn now(&self) -> Moment {
+        self.inner.clock.now()
+    }
+
+    /// Returns the clock.
+    pub fn clock(&self) -> Clock {
+        self.inner.clock
+    }
+
+    /// Returns the platform's adapter.
+    pub fn platform(&self) -> &platform::Client {
+        &self.inner.platform
+    }
+
+    /// Returns the configuration in force.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        Arc::clone(&self.inner.snapshots.borrow())
+    }
+
+    /// Returns where new configurations are put in force.
+    pub fn snapshots(&self) -> &watch::Sender<Arc<Snapshot>> {
+        &self.inner.snapshots
+    }
+
+    /// Returns the version of the configuration in force.
+    pub fn config_version(&self) -> configuration::Version {
+        self.snapshot().configuration().version
+    }
+
+    /// Returns the runners that the daemon has links to.
+    pub fn runners(&self) -> &Pool {
+        &self.inner.runners
+    }
+
+    /// Tells whether the balancer may send requests here.
+    pub fn is_ready(&self) -> bool {
+        !self.inner.leaving.load(Ordering::SeqCst)
+            && self.config_version() != configuration::Version::NONE
+    }
+
+    /// Tells whether new requests are refused.
+    pub fn is_refusing(&self) -> bool {
+        self.inner.refusing.load(Ordering::SeqCst)
+    }
+
+    /// Returns the token that is cancelled once the daemon has ended its requests.
+    pub fn stopped(&self) -> &CancellationToken {
+        &self.inner.stopped
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive/mod.rs
@@ -0,0 +1,11 @@
+//! Brings a request to its outcome.
+
+mod driver;
+mod output;
+mod stream;
+
+pub use driver::Driver;
+pub use output::Chunk;
+pub use output::End;
+pub use output::Output;
+pub use output::Position;
--- /dev/null
+++ b/crates/entry/src/http/answer/streamed.rs
@@ -0,0 +1,63 @@
+use futures::StreamExt;
+use futures::stream;
+use kumquattiller_base::request;
+use poem::IntoResponse;
+use poem::Response;
+use poem::web::sse::Event;
+use poem::web::sse::SSE;
+use tokio::sync::mpsc;
+
+use crate::drive::Chunk;
+use crate::drive::End;
+use crate::drive::Output;
+use crate::http::Error;
+use crate::http::EventId;
+use crate::http::answer::Shape;
+use crate::http::headers;
+
+/// Data of the event after a whole answer.
+const DONE: &str = "[DONE]";
+/// Type of the event that ends an answer which is not whole.
+const ERROR_EVENT: &str = "error";
+
+/// Streams an answer; a request that ends before its first piece gets a plain error answer.
+pub async fn streamed(
+    id: request::Id,
+    shape: Shape,
+    model: String,
+    mut output: mpsc::Receiver<Output>,
+) -> Response {
+    let first = output.recv().await;
+    if let Some(Output::End(end)) = &first
+        && let Some(error) = Error::of(id, &end.outcome)
+    {
+        return error.into_response();
+    }
+    let rest = stream::unfold(output, |mut output| async move {
+        output.recv().await.map(|item| (item, output))
+    });
+    let events = stream::iter(first).chain(rest).flat_map(move |item| {
+        let events = match item {
+            Output::Chunk(chunk) => vec![piece(id, shape, &model, &chunk)],
+            Output::End(end) => last(id, shape, &model, &end),
+        };
+        stream::iter(events)
+    });
+    SSE::new(events).with_header(headers::REQUEST_ID, id.to_string()).into_response()
+}
+
+/// Returns the event of a piece.
+fn piece(id: request::Id, shape: Shape, model: &str, chunk: &Chunk) -> Event {
+    let text = String::from_utf8_lossy(&chunk.data);
+    let data = shape.event(id, model, &text, None).to_string();
+    Event::message(data).id(EventId(chunk.position.clone()).to_string())
+}
+
+/// Returns the events of an end.
+fn last(id: request::Id, shape: Shape, model: &str, end: &End) -> Vec<Event> {
+    if let Some(error) = Error::of(id, &end.outcome) {
+        return vec![Event::message(error.to_json()).event_type(ERROR_EVENT)];
+    }
+    let data = shape.event(id, model, "", Some(&end.finish_reason)).to_string();
+    vec![Event::message(data), Event::message(DONE)]
+}
--- /dev/null
+++ b/crates/entry/src/http/answer/whole.rs
@@ -0,0 +1,59 @@
+use kumquattiller_base::outcome::Outcome;
+use kumquattiller_base::request;
+use kumquattiller_base::size::Tokens;
+use poem::IntoResponse;
+use poem::Response;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::drive::End;
+use crate::drive::Output;
+use crate::http::Error;
+use crate::http::answer::Shape;
+use crate::http::headers;
+
+/// Collects an answer and sends it whole.
+pub async fn whole(
+    id: request::Id,
+    shape: Shape,
+    model: &str,
+    prompt: Tokens,
+    mut output: mpsc::Receiver<Output>,
+) -> Response {
+    let mut data = Vec::new();
+    while let Some(item) = output.recv().await {
+        match item {
+            Output::Chunk(chunk) => data.extend_from_slice(&chunk.data),
+            Output::End(end) => return finish(id, shape, model, prompt, &data, &end),
+        }
+    }
+    Error::not_admitted(kumquattiller_base::error::Kind::Internal).into_response()
+}
+
+/// Builds the answer of an ended request.
+fn finish(
+    id: request::Id,
+    shape: Shape,
+    model: &str,
+    prompt: Tokens,
+    data: &[u8],
+    end: &End,
+) -> Response {
+    if let Some(error) = Error::of(id, &end.outcome) {
+        return error.into_response();
+    }
+    let Outcome::Done { tokens } = end.outcome else {
+        return Error::not_admitted(kumquattiller_base::error::Kind::Internal).into_response();
+    };
+    let usage = json!({
+        "prompt_tokens": prompt.get(),
+        "completion_tokens": tokens.get(),
+        "total_tokens": prompt.saturating_add(tokens).get(),
+    });
+    let text = String::from_utf8_lossy(data);
+    let body = shape.whole(id, model, &text, &end.finish_reason, &usage);
+    Response::builder()
+        .content_type("application/json")
+        .header(headers::REQUEST_ID, id.to_string())
+        .body(body.to_string())
+}
--- /dev/null
+++ b/crates/entry/src/http/mod.rs
@@ -0,0 +1,18 @@
+//! The callers' side over HTTP.
+
+mod answer;
+mod body;
+mod error;
+mod event_id;
+mod handlers;
+mod headers;
+mod health;
+mod models;
+mod plain;
+mod resume;
+mod server;
+
+pub use error::Error;
+pub use event_id::EventId;
+pub use server::Server;
+pub use server::start;
--- /dev/null
+++ b/crates/entry/src/http/models.rs
@@ -0,0 +1,90 @@
+//! Handlers of model requests.
+
+use kumquattiller_base::deadline::Deadline;
+use kumquattiller_base::error;
+use kumquattiller_base::fingerprint::Fingerprint;
+use kumquattiller_base::service;
+use poem::Body;
+use poem::IntoResponse;
+use poem::Response;
+use poem::handler;
+use poem::http::HeaderMap;
+use poem::web::Data;
+
+use crate::Daemon;
+use crate::http::Error;
+use crate::http::answer;
+use crate::http::answer::Shape;
+use crate::http::body;
+use crate::http::body::Parts;
+use crate::http::handlers;
+use crate::http::headers;
+use crate::http::resume;
+use crate::request::Admitted;
+use crate::request::hash_blocks;
+
+/// Path of the engine's call.
+const ENGINE_PATH: &str = "/v1/completions";
+
+/// Serves `POST /v1/completions`.
+#[handler]
+pub async fn completions(Data(daemon): Data<&Daemon>, headers: &HeaderMap, body: Body) -> Response {
+    serve(daemon, headers, body, Shape::Completion).await.unwrap_or_else(Error::into_response)
+}
+
+/// Serves `POST /v1/chat/completions`.
+#[handler]
+pub async fn chat(Data(daemon): Data<&Daemon>, headers: &HeaderMap, body: Body) -> Response {
+    serve(daemon, headers, body, Shape::Chat).await.unwrap_or_else(Error::into_response)
+}
+
+async fn serve(
+    daemon: &Daemon,
+    headers: &HeaderMap,
+    body: Body,
+    shape: Shape,
+) -> Result<Response, Error> {
+    handlers::check_serving(daemon)?;
+    let account = headers::account(headers, &daemon.snapshot())?;
+    if let Some(event_id) = headers::last_event_id(headers)? {
+        return Ok(resume::serve(daemon, account, event_id, shape).await);
+    }
+    let deadline = headers::deadline(headers)?;
+    let key = headers::key(headers, &account)?;
+    let data = handlers::read_body(daemon, body).await?;
+    let parts = match shape {
+        Shape::Completion => Parts::try_from(body::read::<body::Completion>(&data)?)?,
+        Shape::Chat => Parts::try_from(body::read::<body::Chat>(&data)?)?,
+    };
+    let snapshot = daemon.snapshot();
+    let model: service::Model = parts.model.parse().map_err(|_| error::Kind::UnknownModel)?;
+    let service = snapshot.service_of(&model).ok_or(error::Kind::UnknownModel)?.clone();
+    let idempotent = snapshot.is_idempotent(&service, "POST", ENGINE_PATH);
+    if !idempotent && key.is_none() {
+        return Err(error::Kind::MissingKey.into());
+    }
+    let span = deadline.unwrap_or_else(|| snapshot.deadline_of(&service));
+    let id = daemon.new_request_id();
+    let request = Admitted {
+        id,
+        fingerprint: Fingerprint::of(&account, ENGINE_PATH, &data),
+        account,
+        service,
+        model: Some(model),
+        method: "POST".to_owned(),
+        path: ENGINE_PATH.to_owned(),
+        prompt: parts.tokens,
+        max_tokens: parts.max_tokens,
+        idempotent,
+        key,
+        deadline: Deadline::after(daemon.now(), span),
+        blocks: hash_blocks(parts.prompt.as_bytes()),
+        body: parts.prompt.into(),
+    };
+    let prompt = request.prompt;
+    let output = handlers::drive(daemon, request);
+    if parts.stream {
+        return Ok(answer::streamed(id, shape, parts.model, output).await);
+    }
+    Ok(answer::whole(id, shape, &parts.model, prompt, output).await)
+}
--- /dev/null
+++ b/crates/entry/src/http/plain.rs
@@ -0,0 +1,107 @@
+//! Handler of calls to plain services.
+
+use kumquattiller_base::deadline::Deadline;
+use kumquattiller_base::error;
+use kumquattiller_base::fingerprint::Fingerprint;
+use kumquattiller_base::request;
+use kumquattiller_base::service;
+use kumquattiller_base::size::Tokens;
+use poem::Body;
+use poem::IntoResponse;
+use poem::Request;
+use poem::Response;
+use poem::handler;
+use poem::http::StatusCode;
+use poem::web::Data;
+use poem::web::Path;
+use tokio::sync::mpsc;
+
+use crate::Daemon;
+use crate::drive::Output;
+use crate::http::Error;
+use crate::http::handlers;
+use crate::http::headers;
+use crate::request::Admitted;
+
+/// Serves `/services/{service}/{path}` with every method.
+#[handler]
+pub async fn call(
+    Data(daemon): Data<&Daemon>,
+    Path((service, path)): Path<(String, String)>,
+    request: &Request,
+    body: Body,
+) -> Response {
+    serve(daemon, &service, &path, request, body).await.unwrap_or_else(Error::into_response)
+}
+
+async fn serve(
+    daemon: &Daemon,
+    service: &str,
+    path: &str,
+    request: &Request,
+    body: Body,
+) -> Result<Response, Error> {
+    handlers::check_serving(daemon)?;
+    let snapshot = daemon.snapshot();
+    let account = headers::account(request.headers(), &snapshot)?;
+    let service: service::Name = service.parse().map_err(|_| error::Kind::UnknownService)?;
+    let known = snapshot.service(&service).is_some_and(|s| s.kind == service::Kind::Plain);
+    if !known {
+        return Err(error::Kind::UnknownService.into());
+    }
+    let deadline = headers::deadline(request.headers())?;
+    let key = headers::key(request.headers(), &account)?;
+    let method = request.method().as_str().to_owned();
+    let path = match request.uri().query() {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    let idempotent = snapshot.is_idempotent(&service, &method, &path);
+    if !idempotent && key.is_none() {
+        return Err(error::Kind::MissingKey.into());
+    }
+    let data = handlers::read_body(daemon, body).await?;
+    let span = deadline.unwrap_or_else(|| snapshot.deadline_of(&service));
+    let id = daemon.new_request_id();
+    let request = Admitted {
+        id,
+        fingerprint: Fingerprint::of(&account, &path, &data),
+        account,
+        service,
+        model: None,
+        method,
+        path,
+        prompt: Tokens::ZERO,
+        max_tokens: Tokens::ZERO,
+        idempotent,
+        key,
+        deadline: Deadline::after(daemon.now(), span),
+        blocks: Vec::new(),
+        body: data,
+    };
+    Ok(answer(id, handlers::drive(daemon, request)).await)
+}
+
+/// Collects the service's answer.
+async fn answer(id: request::Id, mut output: mpsc::Receiver<Output>) -> Response {
+    let mut data = Vec::new();
+    while let Some(item) = output.recv().await {
+        let end = match item {
+            Output::Chunk(chunk) => {
+                data.extend_from_slice(&chunk.data);
+                continue;
+            }
+            Output::End(end) => end,
+        };
+        if let Some(error) = Error::of(id, &end.outcome) {
+            return error.into_response();
+        }
+        let status = StatusCode::from_u16(end.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        return Response::builder()
+            .status(status)
+            .content_type(&end.content_type)
+            .header(headers::REQUEST_ID, id.to_string())
+            .body(data);
+    }
+    Error::not_admitted(error::Kind::Internal).into_response()
+}
--- /dev/null
+++ b/crates/entry/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! Admitted requests.
+
+mod admitted;
+mod blocks;
+
+pub use admitted::Admitted;
+pub use blocks::hash_blocks;
--- /dev/null
+++ b/crates/entry/src/runners/call.rs
@@ -0,0 +1,107 @@
+use std::sync::Arc;
+
+use kumquattiller_base::runner;
+use kumquattiller_base::time::Moment;
+use kumquattiller_link::Closed;
+use kumquattiller_link::Sender;
+use kumquattiller_wire::Attempt;
+use kumquattiller_wire::Body;
+use kumquattiller_wire::link;
+use tokio::sync::mpsc;
+
+use crate::request::Admitted;
+use crate::runners::Remote;
+use crate::runners::Reply;
+
+/// One attempt on one runner; dropping it waits no longer for replies.
+#[derive(Debug)]
+pub struct Call {
+    remote: Arc<Remote>,
+    sender: Sender,
+    current: Option<(Attempt, mpsc::UnboundedReceiver<Reply>)>,
+}
+
+impl Call {
+    /// Prepares a call over an open link.
+    pub const fn new(remote: Arc<Remote>, sender: Sender) -> Self {
+        Self { remote, sender, current: None }
+    }
+
+    /// Returns the runner.
+    pub fn runner(&self) -> &runner::Id {
+        &self.remote.runner().id
+    }
+
+    /// Sends the start of an attempt and its body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the link is closed; the attempt may have started all the same.
+    pub async fn start(
+        &mut self,
+        request: &Admitted,
+        attempt: Attempt,
+        now: Moment,
+    ) -> Result<(), Closed> {
+        self.current = Some((attempt, self.remote.wait_for(attempt)));
+        let start = start_frame(request, attempt, self.remote.incarnation(), now);
+        self.sender.send(Body::Start(start)).await?;
+        self.sender.send_body(attempt, &request.body).await
+    }
+
+    /// Asks for the rest of an answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the link is closed.
+    pub async fn resume(&mut self, resume: link::Resume, attempt: Attempt) -> Result<(), Closed> {
+        self.current = Some((attempt, self.remote.wait_for(attempt)));
+        self.sender.send(Body::Resume(resume)).await
+    }
+
+    /// Returns the next reply, or `None` when the link closed.
+    pub async fn reply(&mut self) -> Option<Reply> {
+        let (_, replies) = self.current.as_mut()?;
+        replies.recv().await
+    }
+
+    /// Tells the runner to stop working on the attempt.
+    pub fn cancel(&self) {
+        if let Some((attempt, _)) = &self.current {
+            let cancel = link::Cancel { attempt: Some((*attempt).into()) };
+            let sender = self.sender.clone();
+            tokio::spawn(async move { sender.send(Body::Cancel(cancel)).await });
+        }
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        if let Some((attempt, _)) = &self.current {
+            self.remote.forget(*attempt);
+        }
+    }
+}
+
+/// Builds the start of an attempt.
+fn start_frame(request: &Admitted, attempt: Attempt, incarnation: u64, now: Moment) -> link::Start {
+    link::Start {
+        attempt: Some(attempt.into()),
+        service: request.service.to_string(),
+        account: request.account.to_string(),
+        model: request.model.as_ref().map(ToString::to_string).unwrap_or_default(),
+        path: request.path.clone(),
+        method: request.method.clone(),
+        prompt_tokens: request.prompt.get(),
+        max_tokens: request.max_tokens.get(),
+        left_ms: request.deadline.left(now).as_millis() as u64,
+        idempotent: request.idempotent,
+        key: request.key.as_ref().map(|key| key.text().to_owned()).unwrap_or_default(),
+        body_bytes: request.body.len() as u64,
+        block_hashes: request.blocks.clone(),
+        fingerprint_high: (request.fingerprint.get() >> 64) as u64,
+        fingerprint_low: request.fingerprint.get() as u64,
+        incarnation,
+        ..link::Start::default()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/runners/mod.rs
@@ -0,0 +1,12 @@
+//! The runners that an entry daemon has links to.
+
+mod call;
+mod dialer;
+mod pool;
+mod remote;
+mod reply;
+
+pub use call::Call;
+pub use pool::Pool;
+pub use remote::Remote;
+pub use reply::Reply;
--- a/crates/inventory/src/configuration.rs
+++ b/crates/inventory/src/configuration.rs
@@ -1,3 +1,5 @@
+//! Accepted configurations and their versions.
+
 use serde::Deserialize;
 use serde::Serialize;
 
--- a/crates/inventory/src/lib.rs
+++ b/crates/inventory/src/lib.rs
@@ -3,9 +3,8 @@
 //! Operators write a [`register::Register`] (what there is) and [`rules::Rules`] (how it is to
 //! be used) in JSON. Together with a version they are a [`Configuration`]. Nothing here does I/O.
 
-mod configuration;
+pub mod configuration;
 pub mod register;
 pub mod rules;
 
 pub use configuration::Configuration;
-pub use configuration::Version;
