--- /dev/null
+++ b/crates/routing/src/table/runner.rs
@@ -0,0 +1,95 @@
+use kumquattiller_base::runner::Id;
+use kumquattiller_base::size::Tokens;
+use kumquattiller_base::time::Moment;
+
+use crate::band::Band;
+use crate::load::Load;
+use crate::request::Request;
+use crate::table::Distance;
+
+/// A runner as an entry daemon sees it.
+#[derive(Debug, Clone)]
+pub struct Runner {
+    /// The runner's id.
+    pub id: Id,
+    /// How far it is.
+    pub distance: Distance,
+    /// Its last report.
+    pub load: Load,
+    /// When the last report came.
+    pub reported: Option<Moment>,
+    /// A link to it is open.
+    pub reachable: bool,
+    /// Requests of this daemon that have not ended.
+    pub outstanding: u32,
+    /// Requests sent since the last report.
+    pub sent_requests: u32,
+    /// KV memory of the requests sent since the last report.
+    pub sent_footprint: Tokens,
+    /// Prompt tokens sent since the last report.
+    pub sent_prompt: Tokens,
+    /// The part of `sent_prompt` that belongs to prompts over 8,000 tokens.
+    pub sent_long_prompt: Tokens,
+}
+
+impl Runner {
+    /// Makes an entry for a runner that has not reported.
+    pub(super) fn new(id: Id, distance: Distance) -> Self {
+        Self {
+            id,
+            distance,
+            load: Load::default(),
+            reported: None,
+            reachable: true,
+            outstanding: 0,
+            sent_requests: 0,
+            sent_footprint: Tokens::ZERO,
+            sent_prompt: Tokens::ZERO,
+            sent_long_prompt: Tokens::ZERO,
+        }
+    }
+
+    /// Tells whether the runner may get new work.
+    pub const fn is_open(&self) -> bool {
+        self.reachable && !self.load.leaving
+    }
+
+    /// Returns the KV memory believed free; a runner that never reported counts as empty.
+    pub const fn free(&self) -> Tokens {
+        self.load.free().saturating_sub(self.sent_footprint)
+    }
+
+    /// Returns the prompt tokens believed not yet computed.
+    pub const fn backlog(&self) -> Tokens {
+        self.load.backlog.saturating_add(self.sent_prompt)
+    }
+
+    /// Returns the part of the backlog that belongs to prompts over 8,000 tokens.
+    pub const fn long_backlog(&self) -> Tokens {
+        self.load.long_backlog.saturating_add(self.sent_long_prompt)
+    }
+
+    /// Returns the requests believed running or waiting.
+    pub const fn requests(&self) -> u32 {
+        self.load.running + self.load.waiting + self.sent_requests
+    }
+
+    pub(super) const fn report(&mut self, load: Load, now: Moment) {
+        self.load = load;
+        self.reported = Some(now);
+        self.sent_requests = 0;
+        self.sent_footprint = Tokens::ZERO;
+        self.sent_prompt = Tokens::ZERO;
+        self.sent_long_prompt = Tokens::ZERO;
+    }
+
+    pub(super) fn sent(&mut self, request: &Request<'_>) {
+        self.outstanding += 1;
+        self.sent_requests += 1;
+        self.sent_footprint = self.sent_footprint.saturating_add(request.footprint());
+        self.sent_prompt = self.sent_prompt.saturating_add(request.prompt);
+        if request.band() != Band::UpTo8k {
+            self.sent_long_prompt = self.sent_long_prompt.saturating_add(request.prompt);
+        }
+    }
+}
