--- a/crates/claims/src/writer/settings.rs
+++ b/crates/claims/src/writer/settings.rs
@@ -17,7 +17,7 @@
     fn default() -> Self {
         Self {
             claim_linger: Duration::from_millis(5),
-            outcome_linger: Duration::from_millis(200),
+            outcome_linger: Duration::from_secs(1),
             outage_pause: Duration::from_millis(500),
             orphan_check: Duration::from_secs(5),
         }
