--- a/src/bin/kumquattiller/main.rs
+++ b/src/bin/kumquattiller/main.rs
@@ -1,2 +1,10 @@
 //! The entry daemon and the operators' command line.
-fn main() {}
+
+mod cli;
+mod commands;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::main(pico_args::Arguments::from_env())
+}
--- /dev/null
+++ b/src/error/mod.rs
@@ -0,0 +1,12 @@
+//! Failures of commands and their exit codes.
+
+mod code;
+mod failure;
+
+use error_stack::Report;
+
+pub use code::Code;
+pub use failure::Error;
+
+/// What a command returns.
+pub type Result<T = ()> = std::result::Result<T, Report<Error>>;
--- /dev/null
+++ b/src/ops/explain.rs
@@ -0,0 +1,84 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use kumquattiller_base::request;
+use kumquattiller_link::Identity;
+use kumquattiller_link::Link;
+use kumquattiller_wire::Body;
+use kumquattiller_wire::link;
+use tokio::time::timeout;
+
+use crate::error;
+use crate::error::Code;
+use crate::error::Error;
+
+/// Longest wait for the answer of a process.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Role of the command line on a link.
+const OPERATOR_ROLE: &str = "operator";
+
+/// What to explain and whom to ask.
+#[derive(Debug, Clone)]
+pub struct ExplainOptions {
+    /// The request.
+    pub request: request::Id,
+    /// Link addresses of the processes to ask, IP and port.
+    pub processes: Vec<SocketAddr>,
+}
+
+/// Returns the decisions that the processes recorded about a request.
+///
+/// # Errors
+///
+/// Fails when no process answers, or none knows the request.
+pub async fn explain(options: &ExplainOptions) -> error::Result<Vec<String>> {
+    let mut lines = Vec::new();
+    let mut failure: Option<Report<Error>> = None;
+    for address in &options.processes {
+        match ask(*address, options.request).await {
+            Ok(found) => lines.extend(found),
+            Err(report) => failure = Some(report),
+        }
+    }
+    match (lines.is_empty(), failure) {
+        (false, _) => Ok(lines),
+        (true, Some(report)) => Err(report),
+        (true, None) => {
+            let message = format!(
+                "request {} is not known; decisions are kept for a while only",
+                options.request
+            );
+            Err(Error::new(Code::NotFound, message).into())
+        }
+    }
+}
+
+/// Asks one process.
+async fn ask(address: SocketAddr, request: request::Id) -> error::Result<Vec<String>> {
+    let context = || Error::unreachable(format!("no answer from {address}"));
+    let own = Identity {
+        name: format!("operator-{}", std::process::id()),
+        incarnation: 1,
+        zone: String::new(),
+        role: OPERATOR_ROLE.to_owned(),
+    };
+    let mut link = Link::connect(address, &own, 0).await.change_context_lazy(context)?;
+    let question = link::Explain { request: Some(request.into()) };
+    link.sender.send(Body::Explain(question)).await.change_context_lazy(context)?;
+    timeout(ANSWER_TIMEOUT, answer(&mut link)).await.change_context_lazy(context)?
+}
+
+/// Waits for the answer among the other frames of the link.
+async fn answer(link: &mut Link) -> error::Result<Vec<String>> {
+    let context = || Error::unreachable(format!("no answer from {}", link.peer.name));
+    loop {
+        let frame = link.receiver.next().await.change_context_lazy(context)?;
+        match frame {
+            Some(Body::Explained(explained)) => return Ok(explained.lines),
+            Some(_) => {}
+            None => return Err(context().into()),
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/mod.rs
@@ -0,0 +1,6 @@
+//! What the commands do.
+
+mod explain;
+
+pub use explain::ExplainOptions;
+pub use explain::explain;
