entry: claims before the first start of a non-idempotent request

Cause: the driver started a non-idempotent request without a record that outlives the daemon, so the same key at two daemons, or again after a killed daemon, ran twice. A claims task runs the writer; the driver's permit is used up by a start, comes back only with a refused attempt, and ends in the record. Service and method are now part of a plain call's fingerprint, for two services with one path shared it. Conclusion: one start for a claim is held by the types; process tests follow with the stand-ins.

--- a/crates/claims/src/claim/mod.rs
+++ b/crates/claims/src/claim/mod.rs
@@ -2,7 +2,7 @@
 
 use std::marker::PhantomData;
 
-use kumquattiller_base::attempt::NotStarted;
+use kumquattiller_base::attempt;
 use kumquattiller_base::request::Key;
 use kumquattiller_base::time::Moment;
 
@@ -92,8 +92,8 @@
 
 impl Claim<Started> {
     /// Takes the right to start back after a runner refused before starting anything.
-    pub fn refused(self, proof: &NotStarted) -> Claim<Granted> {
-        let _ = proof;
+    pub fn refused(self, attempt: &attempt::Attempt<attempt::Refused>) -> Claim<Granted> {
+        let _ = attempt;
         self.into_state()
     }
 
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -12,7 +12,7 @@
 //!    record, does the writer hand out a [`Claim`]. It cannot be copied, and nothing ever takes a
 //!    record over. So at most one claim exists for a record.
 //! 4. Using up the claim with [`Claim::start`] permits one start. A runner that refuses before it
-//!    starts anything gives the claim back, by the proof that [`Claim::refused`] asks for.
+//!    starts anything gives the claim back: [`Claim::refused`] asks for the refused attempt.
 //! 5. The outcome is written to the record with a later batch. A repeat of the key gets that
 //!    outcome, or [`Answer::Held`] while the request may run, or [`Answer::Unknown`].
 //!
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,6 +1,8 @@
 //! The shared state of an entry daemon, and its start and stop.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -18,11 +20,16 @@
 use tokio_util::task::TaskTracker;
 
 use crate::Settings;
+use crate::claims;
+use crate::claims::Claims;
 use crate::http;
 use crate::runners::Pool;
 use crate::snapshot::Snapshot;
 use crate::source;
 
+/// Longest wait at a stop for outcomes to be recorded.
+const CLAIMS_FLUSH_LIMIT: Duration = Duration::from_secs(5);
+
 /// An entry daemon; clones share one state.
 #[derive(Debug, Clone)]
 pub struct Daemon {
@@ -37,6 +44,8 @@
     platform: platform::Client,
     snapshots: watch::Sender<Arc<Snapshot>>,
     runners: Pool,
+    claims: Claims,
+    claims_inbox: Mutex<Option<claims::Inbox>>,
     work: TaskTracker,
     leaving: AtomicBool,
     refusing: AtomicBool,
@@ -52,11 +61,15 @@
             zone: settings.zone.to_string(),
             role: "entry".to_owned(),
         };
+        let clock = Clock::start();
+        let (claims, claims_inbox) = Claims::new(clock);
         let inner = Inner {
             platform: platform::Client::new(Transport::new(), &settings.platform_url),
             settings,
             identity,
-            clock: Clock::start(),
+            clock,
+            claims,
+            claims_inbox: Mutex::new(Some(claims_inbox)),
             snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
             runners: Pool::default(),
             work: TaskTracker::new(),
@@ -79,6 +92,7 @@
             "entry daemon serves"
         );
         tokio::spawn(source::run(self.clone()));
+        self.serve_claims();
         shutdown.await;
         self.stop(server).await;
         Ok(())
@@ -92,11 +106,25 @@
         self.inner.refusing.store(true, Ordering::SeqCst);
         self.inner.work.close();
         self.inner.work.wait().await;
+        self.claims().flush(CLAIMS_FLUSH_LIMIT).await;
         server.stop().await;
         self.inner.stopped.cancel();
         log::info!(daemon:% = self.settings().id; "entry daemon ends");
     }
 
+    /// Serves claims, once.
+    fn serve_claims(&self) {
+        let inbox = self.inner.claims_inbox.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(inbox) = inbox {
+            tokio::spawn(claims::run(self.clone(), inbox));
+        }
+    }
+
+    /// Returns the claims of non-idempotent requests.
+    pub fn claims(&self) -> &Claims {
+        &self.inner.claims
+    }
+
     /// Runs a task that a graceful stop waits for.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         self.inner.work.spawn(task);
--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -16,6 +16,8 @@
 use crate::drive::End;
 use crate::drive::Output;
 use crate::drive::Position;
+use crate::drive::permit::Permit;
+use crate::drive::repeat::Repeat;
 use crate::drive::stream::Stream;
 use crate::drive::stream::Verdict;
 use crate::request::Admitted;
@@ -32,6 +34,7 @@
     request: Admitted,
     output: mpsc::Sender<Output>,
     tried: Vec<runner::Id>,
+    permit: Permit,
 }
 
 /// How an attempt ended.
@@ -46,19 +49,49 @@
 
 impl Driver {
     /// Prepares to run a request whose answer goes to `output`.
-    pub const fn new(daemon: Daemon, request: Admitted, output: mpsc::Sender<Output>) -> Self {
-        Self { daemon, request, output, tried: Vec::new() }
+    pub fn new(daemon: Daemon, request: Admitted, output: mpsc::Sender<Output>) -> Self {
+        Self { daemon, request, output, tried: Vec::new(), permit: Permit::default() }
     }
 
     /// Runs attempts until the request has its outcome, and hands it over.
     pub async fn run(mut self) {
-        let end = self.attempts().await;
+        let end = match self.claim().await {
+            None => self.attempts().await,
+            Some(end) => end,
+        };
         log::info!(
             request:% = self.request.id, account:% = self.request.account,
             outcome:? = end.outcome;
             "request ended"
         );
-        let _ = self.output.send(Output::End(end)).await;
+        let _ = self.output.send(Output::End(end.clone())).await;
+        self.permit.end(self.daemon.claims(), &end);
+    }
+
+    /// Claims the key of a non-idempotent request; returns an end when it may not start.
+    async fn claim(&mut self) -> Option<End> {
+        if self.request.idempotent {
+            return None;
+        }
+        let unsent = Attempt::first(self.request.id);
+        let Some(key) = self.request.key.clone() else {
+            return Some(not_run(unsent, error::Kind::MissingKey, None));
+        };
+        let claims = self.daemon.claims();
+        let answer = claims.claim(key, self.request.fingerprint, self.request.deadline).await;
+        match Repeat::of(answer, unsent) {
+            Repeat::No(claim) => {
+                self.permit = Permit::of(claim);
+                None
+            }
+            Repeat::Yes(data, end) => {
+                if let Some(data) = data {
+                    let position = Position::recorded(self.request.id);
+                    let _ = self.output.send(Output::Chunk(Chunk { position, data })).await;
+                }
+                Some(end)
+            }
+        }
     }
 
     /// Runs one attempt after the other.
@@ -76,11 +109,16 @@
                 return not_run(attempt, reason.0, reason.1);
             };
             self.tried.push(call.runner().clone());
+            if !self.permit.start(self.daemon.claims()) {
+                return not_run(attempt, error::Kind::DeadlineExpired, None);
+            }
             match self.attempt(attempt, call).await {
                 Ended::With(end) => return end,
                 Ended::Refused(sent, kind, retry_after) => {
                     reason = (kind, retry_after);
-                    attempt = sent.refuse().again();
+                    let refused = sent.refuse();
+                    self.permit.refused(&refused);
+                    attempt = refused.again();
                 }
                 Ended::Lost(_, kind) if !self.request.idempotent => {
                     return Outcome::Unknown(kind).into();
@@ -94,7 +132,7 @@
     }
 
     /// Runs one attempt on a runner.
-    async fn attempt(&self, attempt: Attempt<Unsent>, mut call: Call) -> Ended {
+    async fn attempt(&mut self, attempt: Attempt<Unsent>, mut call: Call) -> Ended {
         let number = WireAttempt { request: attempt.request(), number: attempt.number() };
         let sent = attempt.send();
         if call.start(&self.request, number, self.daemon.now()).await.is_err() {
@@ -131,7 +169,7 @@
 
     /// Judges a reply and hands a piece of the answer over.
     async fn take(
-        &self,
+        &mut self,
         stream: &mut Stream,
         attempt: WireAttempt,
         call: &Call,
@@ -141,6 +179,7 @@
             (Verdict::Deliver, Reply::Chunk { incarnation, data, .. }) => {
                 let runner = call.runner().clone();
                 let position = Position { runner, incarnation, attempt, offset: stream.next() };
+                self.permit.keep(&data);
                 let _ = self.output.send(Output::Chunk(Chunk { position, data })).await;
                 Step::Next
             }
@@ -190,7 +229,11 @@
 }
 
 /// Returns "not run" when the attempt proves it, else that nobody knows.
-fn not_run(attempt: Attempt<Unsent>, kind: error::Kind, retry_after: Option<Duration>) -> End {
+pub(super) fn not_run(
+    attempt: Attempt<Unsent>,
+    kind: error::Kind,
+    retry_after: Option<Duration>,
+) -> End {
     match attempt.not_started() {
         Some(proof) => Outcome::not_run(proof, kind, retry_after).into(),
         None => Outcome::Unknown(kind).into(),
--- a/crates/entry/src/drive/mod.rs
+++ b/crates/entry/src/drive/mod.rs
@@ -2,6 +2,8 @@
 
 mod driver;
 mod output;
+mod permit;
+mod repeat;
 mod stream;
 
 pub use driver::Driver;
--- a/crates/entry/src/drive/output.rs
+++ b/crates/entry/src/drive/output.rs
@@ -1,8 +1,13 @@
 use bytes::Bytes;
+use kumquattiller_base::attempt;
 use kumquattiller_base::outcome::Outcome;
+use kumquattiller_base::request;
 use kumquattiller_base::runner;
 use kumquattiller_wire::Attempt;
 
+/// Stands for the runner of an answer that came from the record of a claim.
+const RECORDED_RUNNER: &str = "recorded";
+
 /// What a driver hands to the caller's side.
 #[derive(Debug, Clone)]
 pub enum Output {
@@ -34,6 +39,15 @@
     pub offset: u64,
 }
 
+impl Position {
+    /// Returns the position of an answer that a record kept; no runner has it to continue.
+    pub(super) fn recorded(request: request::Id) -> Self {
+        let attempt = Attempt { request, number: attempt::Number::FIRST };
+        let runner = RECORDED_RUNNER.parse().expect("the constant is a valid name");
+        Self { runner, incarnation: 0, attempt, offset: 0 }
+    }
+}
+
 /// The terminal outcome of a request.
 #[derive(Debug, Clone)]
 pub struct End {
--- a/crates/entry/src/http/plain.rs
+++ b/crates/entry/src/http/plain.rs
@@ -65,7 +65,7 @@
     let id = daemon.new_request_id();
     let request = Admitted {
         id,
-        fingerprint: Fingerprint::of(&account, &path, &data),
+        fingerprint: Fingerprint::of(&account, &format!("{method} {service}{path}"), &data),
         account,
         service,
         model: None,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! and [`runners`] carries frames over the links. What the daemon knows of the fleet is a
 //! [`snapshot::Snapshot`] of the accepted configuration, kept by [`source`].
 
+pub mod claims;
 pub mod daemon;
 pub mod drive;
 pub mod http;
