--- a/crates/claims/tests/writer.rs
+++ b/crates/claims/tests/writer.rs
@@ -152,20 +152,23 @@
     let started = claim.start(at(9)).expect("in time");
     let outcome = Outcome::Done(Reply::new(200, "", b"posted"));
     writer.handle(at(10), started.finish(outcome.clone()));
-    let write = writer.handle(at(300), Event::Tick);
+    let due = Settings::default().outcome_linger.as_millis() as u64 + 10;
+    let write = writer.handle(at(due), Event::Tick);
     assert!(matches!(write.as_slice(), [Action::Write { .. }]), "got {write:?}");
-    writer.handle(at(301), Event::Write(number, WriteResult::Unavailable));
+    writer.handle(at(due + 1), Event::Write(number, WriteResult::Unavailable));
     assert!(!writer.is_idle());
-    writer.handle(at(801), Event::Tick);
+    let retry = due + 1 + Settings::default().outage_pause.as_millis() as u64;
+    writer.handle(at(retry), Event::Tick);
     let mut shard = Shard::default();
     let record = until_write(&mut self::writer(), &[(1, key)]).1.get(key).cloned();
     shard.claim(key, &record.expect("claimed"), at(0).wall);
-    let write = writer.handle(at(802), Event::Read(number, ReadResult::Found(Some((1, shard)))));
+    let write =
+        writer.handle(at(retry + 1), Event::Read(number, ReadResult::Found(Some((1, shard)))));
     assert!(matches!(write.as_slice(), [Action::Write { .. }]), "got {write:?}");
-    writer.handle(at(803), Event::Write(number, WriteResult::Written(2)));
+    writer.handle(at(retry + 2), Event::Write(number, WriteResult::Written(2)));
     assert!(writer.is_idle());
-    writer.handle(at(900), want(2, key, 900));
-    let replies = writer.handle(at(905), Event::Tick);
+    writer.handle(at(retry + 3), want(2, key, retry + 3));
+    let replies = writer.handle(at(retry + 8), Event::Tick);
     let [Action::Reply(Call(2), Answer::Finished(told))] = replies.as_slice() else {
         panic!("got {replies:?}");
     };
