entry, runner: retry budget, resumption over a broken link, suspects

Cause: an attempt whose link broke ended in failure though the runner still had the answer; a retry had no pause and no budget; an answer begun on a dead engine could not go on; a crashing request was tried on three engines and again with each re-send. The runner process reports all that ran on a dead engine on every link before it reports the failure; daemons keep the cases in one object of the store. Ruled out: continuing elsewhere without comparing, for engines need not repeat a text. The decisions are covered by the tests of recovery. Conclusion: the driver now uses the tested state machines only.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -15,6 +16,7 @@
 use kumquattiller_link::Clock;
 use kumquattiller_link::Identity;
 use kumquattiller_link::incarnation;
+use kumquattiller_recovery::retry::Budget;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -26,6 +28,8 @@
 use crate::runners::Pool;
 use crate::snapshot::Snapshot;
 use crate::source;
+use crate::suspects;
+use crate::suspects::Suspects;
 
 /// Longest wait at a stop for outcomes to be recorded.
 const CLAIMS_FLUSH_LIMIT: Duration = Duration::from_secs(5);
@@ -45,6 +49,8 @@
     snapshots: watch::Sender<Arc<Snapshot>>,
     runners: Pool,
     claims: Claims,
+    suspects: Suspects,
+    retries: Mutex<Budget>,
     claims_inbox: Mutex<Option<claims::Inbox>>,
     work: TaskTracker,
     leaving: AtomicBool,
@@ -69,6 +75,8 @@
             identity,
             clock,
             claims,
+            suspects: Suspects::default(),
+            retries: Mutex::default(),
             claims_inbox: Mutex::new(Some(claims_inbox)),
             snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
             runners: Pool::default(),
@@ -93,6 +101,7 @@
         );
         tokio::spawn(source::run(self.clone()));
         self.serve_claims();
+        tokio::spawn(suspects::run(self.clone()));
         shutdown.await;
         self.stop(server).await;
         Ok(())
@@ -120,6 +129,16 @@
         }
     }
 
+    /// Returns the requests that ran when engines died.
+    pub fn suspects(&self) -> &Suspects {
+        &self.inner.suspects
+    }
+
+    /// Returns the retries that may still be made.
+    pub fn retries(&self) -> MutexGuard<'_, Budget> {
+        self.inner.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the claims of non-idempotent requests.
     pub fn claims(&self) -> &Claims {
         &self.inner.claims
--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -1,15 +1,16 @@
 use std::time::Duration;
 
 use kumquattiller_base::attempt::Attempt;
-use kumquattiller_base::attempt::Sent;
 use kumquattiller_base::attempt::Unsent;
 use kumquattiller_base::error;
 use kumquattiller_base::outcome::Outcome;
 use kumquattiller_base::runner;
-use kumquattiller_base::size::Tokens;
-use kumquattiller_wire::Attempt as WireAttempt;
+use kumquattiller_recovery::retry::Decision;
+use kumquattiller_recovery::retry::Plan;
+use kumquattiller_recovery::stream::Replay;
+use kumquattiller_recovery::suspect::Standing;
 use tokio::sync::mpsc;
-use tokio::time::timeout_at;
+use tokio::time::sleep;
 
 use crate::Daemon;
 use crate::drive::Chunk;
@@ -18,39 +19,29 @@
 use crate::drive::Position;
 use crate::drive::permit::Permit;
 use crate::drive::repeat::Repeat;
-use crate::drive::stream::Stream;
-use crate::drive::stream::Verdict;
+use crate::drive::run::Ended;
 use crate::request::Admitted;
-use crate::runners::Call;
-use crate::runners::Reply;
 
-/// Most runners that one request is tried on.
-const MAX_RUNNERS: usize = 3;
+/// Upper end of the pause of a suspect that waits for an engine without another one.
+const MAX_SUSPECT_PAUSE_MS: u64 = 200;
 
 /// Runs the attempts of one request.
 #[derive(Debug)]
 pub struct Driver {
-    daemon: Daemon,
-    request: Admitted,
-    output: mpsc::Sender<Output>,
+    pub(super) daemon: Daemon,
+    pub(super) request: Admitted,
+    pub(super) output: mpsc::Sender<Output>,
+    pub(super) permit: Permit,
+    pub(super) replay: Replay,
     tried: Vec<runner::Id>,
-    permit: Permit,
-}
-
-/// How an attempt ended.
-enum Ended {
-    /// The request has its outcome.
-    With(End),
-    /// The runner proved that it started nothing.
-    Refused(Attempt<Sent>, error::Kind, Option<Duration>),
-    /// The runner was lost, or failed in a way that another may not.
-    Lost(Attempt<Sent>, error::Kind),
 }
 
 impl Driver {
     /// Prepares to run a request whose answer goes to `output`.
     pub fn new(daemon: Daemon, request: Admitted, output: mpsc::Sender<Output>) -> Self {
-        Self { daemon, request, output, tried: Vec::new(), permit: Permit::default() }
+        let permit = Permit::default();
+        let replay = Replay::default();
+        Self { daemon, request, output, permit, replay, tried: Vec::new() }
     }
 
     /// Runs attempts until the request has its outcome, and hands it over.
@@ -97,28 +88,37 @@
     /// Runs one attempt after the other.
     async fn attempts(&mut self) -> End {
         let mut attempt = Attempt::first(self.request.id);
+        let mut plan = Plan::default();
         let mut reason = (error::Kind::NoRunner, None);
         loop {
             if self.request.deadline.is_over(self.daemon.now()) {
-                return not_run(attempt, error::Kind::DeadlineExpired, None);
+                return self.give_up(attempt, error::Kind::DeadlineExpired, None);
             }
-            if self.tried.len() >= MAX_RUNNERS {
-                return not_run(attempt, reason.0, reason.1);
+            let standing =
+                self.daemon.suspects().standing(self.request.fingerprint, self.daemon.now());
+            if let Standing::Refused { left } = standing {
+                return self.give_up(attempt, error::Kind::CrashesBackends, Some(left));
             }
+            let suspect = standing == Standing::Suspect;
             let Some(call) = self.daemon.runners().choose(&self.request, &self.tried) else {
-                return not_run(attempt, reason.0, reason.1);
+                return self.give_up(attempt, reason.0, reason.1);
             };
             self.tried.push(call.runner().clone());
             if !self.permit.start(self.daemon.claims()) {
-                return not_run(attempt, error::Kind::DeadlineExpired, None);
+                return self.give_up(attempt, error::Kind::DeadlineExpired, None);
             }
-            match self.attempt(attempt, call).await {
-                Ended::With(end) => return end,
+            let decision = match self.attempt(attempt, call, suspect).await {
+                Ended::With(end) => return self.settle(end, suspect),
                 Ended::Refused(sent, kind, retry_after) => {
                     reason = (kind, retry_after);
                     let refused = sent.refuse();
                     self.permit.refused(&refused);
                     attempt = refused.again();
+                    if suspect && kind == error::Kind::Overloaded {
+                        self.wait_for_engine().await;
+                        continue;
+                    }
+                    plan.refused(self.daemon.now(), self.request.deadline)
                 }
                 Ended::Lost(_, kind) if !self.request.idempotent => {
                     return Outcome::Unknown(kind).into();
@@ -126,108 +126,51 @@
                 Ended::Lost(sent, kind) => {
                     reason = (kind, None);
                     attempt = sent.again();
-                }
-            }
-        }
-    }
-
-    /// Runs one attempt on a runner.
-    async fn attempt(&mut self, attempt: Attempt<Unsent>, mut call: Call) -> Ended {
-        let number = WireAttempt { request: attempt.request(), number: attempt.number() };
-        let sent = attempt.send();
-        if call.start(&self.request, number, self.daemon.now()).await.is_err() {
-            return Ended::Lost(sent, error::Kind::RunnerLost);
-        }
-        let mut stream = Stream::default();
-        let until = self.daemon.clock().instant(self.request.deadline.moment());
-        loop {
-            let reply = tokio::select! {
-                reply = timeout_at(until, call.reply()) => reply,
-                () = self.output.closed(), if self.request.idempotent => {
-                    call.cancel();
-                    return Ended::With(Outcome::Failed(error::Kind::Cancelled).into());
+                    let now = self.daemon.now();
+                    let mut budget = self.daemon.retries();
+                    plan.lost(now, self.request.deadline, &mut budget, &mut rand::rng())
                 }
             };
-            let Ok(reply) = reply else {
-                call.cancel();
-                return Ended::With(self.out_of_time(&stream));
+            let Decision::Retry { after } = decision else {
+                log::info!(request:% = self.request.id, decision:%; "no further attempt");
+                return self.give_up(attempt, reason.0, reason.1);
             };
-            let Some(reply) = reply else {
-                return self.lost(sent, &stream);
-            };
-            match self.take(&mut stream, number, &call, reply).await {
-                Step::Next => {}
-                Step::End(end) => return Ended::With(end),
-                Step::Refused(kind, retry_after) => return Ended::Refused(sent, kind, retry_after),
-                Step::Failed(kind) if stream.next() == 0 && self.request.idempotent => {
-                    return Ended::Lost(sent, kind);
-                }
-                Step::Failed(kind) => return Ended::With(self.failed(kind)),
-            }
+            sleep(after).await;
         }
     }
 
-    /// Judges a reply and hands a piece of the answer over.
-    async fn take(
-        &mut self,
-        stream: &mut Stream,
-        attempt: WireAttempt,
-        call: &Call,
-        reply: Reply,
-    ) -> Step {
-        match (stream.judge(&reply), reply) {
-            (Verdict::Deliver, Reply::Chunk { incarnation, data, .. }) => {
-                let runner = call.runner().clone();
-                let position = Position { runner, incarnation, attempt, offset: stream.next() };
-                self.permit.keep(&data);
-                let _ = self.output.send(Output::Chunk(Chunk { position, data })).await;
-                Step::Next
-            }
-            (Verdict::Complete, Reply::Final { status, content_type, finish_reason, .. }) => {
-                let outcome = Outcome::Done { tokens: Tokens::new(stream.next()) };
-                Step::End(End { outcome, status, content_type, finish_reason })
-            }
-            (Verdict::Broken, _) => Step::Failed(error::Kind::BackendFailed),
-            (_, Reply::Refused { kind, retry_after }) => Step::Refused(kind, retry_after),
-            (_, Reply::Failed { kind, .. }) => Step::Failed(kind),
-            _ => Step::Next,
-        }
+    /// Waits until an engine may be without another suspect, and considers all of them again.
+    async fn wait_for_engine(&mut self) {
+        let pause = Duration::from_millis(rand::random_range(0..=MAX_SUSPECT_PAUSE_MS));
+        sleep(pause.min(self.request.deadline.left(self.daemon.now()))).await;
+        self.tried.clear();
     }
 
-    /// Ends an attempt whose link was lost.
-    fn lost(&self, sent: Attempt<Sent>, stream: &Stream) -> Ended {
-        if stream.next() == 0 {
-            return Ended::Lost(sent, error::Kind::RunnerLost);
-        }
-        Ended::With(self.failed(error::Kind::RunnerLost))
-    }
-
-    /// Returns the outcome of a request that started and failed.
-    fn failed(&self, kind: error::Kind) -> End {
-        if self.request.idempotent {
-            return Outcome::Failed(kind).into();
+    /// Notes what the end of an attempt says about the fleet and the request.
+    fn settle(&self, end: End, suspect: bool) -> End {
+        if matches!(end.outcome, Outcome::Done { .. }) {
+            self.daemon.retries().succeed();
+            if suspect {
+                self.daemon.suspects().acquit(self.request.fingerprint);
+            }
         }
-        Outcome::Unknown(kind).into()
+        end
     }
 
-    /// Returns the outcome of a request whose deadline passed while a runner had it.
-    fn out_of_time(&self, stream: &Stream) -> End {
-        let kind = error::Kind::DeadlineExceeded;
-        if stream.next() > 0 && self.request.idempotent {
-            return Outcome::Failed(kind).into();
+    /// Returns the outcome of a request that gets no further attempt.
+    fn give_up(
+        &self,
+        attempt: Attempt<Unsent>,
+        kind: error::Kind,
+        retry_after: Option<Duration>,
+    ) -> End {
+        if self.replay.is_empty() {
+            return not_run(attempt, kind, retry_after);
         }
-        Outcome::Unknown(kind).into()
+        Outcome::Failed(kind).into()
     }
 }
 
-/// What follows from a reply.
-enum Step {
-    Next,
-    End(End),
-    Refused(error::Kind, Option<Duration>),
-    Failed(error::Kind),
-}
-
 /// Returns "not run" when the attempt proves it, else that nobody knows.
 pub(super) fn not_run(
     attempt: Attempt<Unsent>,
--- a/crates/entry/src/drive/mod.rs
+++ b/crates/entry/src/drive/mod.rs
@@ -4,7 +4,7 @@
 mod output;
 mod permit;
 mod repeat;
-mod stream;
+mod run;
 
 pub use driver::Driver;
 pub use output::Chunk;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod settings;
 pub mod snapshot;
 pub mod source;
+pub mod suspects;
 
 pub use daemon::Daemon;
 pub use settings::Settings;
--- a/crates/entry/src/runners/call.rs
+++ b/crates/entry/src/runners/call.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
@@ -8,11 +9,16 @@
 use kumquattiller_wire::Body;
 use kumquattiller_wire::link;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio::time::sleep;
 
 use crate::request::Admitted;
 use crate::runners::Remote;
 use crate::runners::Reply;
 
+/// Pause between looks for a new link.
+const REJOIN_PAUSE: Duration = Duration::from_millis(50);
+
 /// One attempt on one runner; dropping it waits no longer for replies.
 #[derive(Debug)]
 pub struct Call {
@@ -41,14 +47,39 @@
         &mut self,
         request: &Admitted,
         attempt: Attempt,
+        suspect: bool,
         now: Moment,
     ) -> Result<(), Closed> {
         self.current = Some((attempt, self.remote.wait_for(attempt)));
-        let start = start_frame(request, attempt, self.remote.incarnation(), now);
+        let incarnation = self.remote.incarnation();
+        let start = link::Start { suspect, ..start_frame(request, attempt, incarnation, now) };
         self.sender.send(Body::Start(start)).await?;
         self.sender.send_body(attempt, &request.body).await
     }
 
+    /// Waits for a new link to the same start of the runner's process; returns whether it came.
+    pub async fn rejoin(&mut self, incarnation: u64, limit: Duration) -> bool {
+        let waited = Instant::now();
+        while waited.elapsed() < limit {
+            if let Some(sender) = self.remote.sender() {
+                self.sender = sender;
+                return self.remote.incarnation() == incarnation;
+            }
+            sleep(REJOIN_PAUSE).await;
+        }
+        false
+    }
+
+    /// Waits for no more replies over the present link.
+    pub fn abandon(&mut self) {
+        self.current = None;
+    }
+
+    /// Returns the start of the runner's process that the link leads to.
+    pub fn incarnation(&self) -> u64 {
+        self.remote.incarnation()
+    }
+
     /// Asks for the rest of an answer.
     ///
     /// # Errors
--- a/crates/entry/src/runners/dialer.rs
+++ b/crates/entry/src/runners/dialer.rs
@@ -95,6 +95,10 @@
         }
         return;
     }
+    if let Body::Suspects(report) = &body {
+        daemon.suspects().hear(report, daemon.now());
+        return;
+    }
     match Reply::read(body) {
         Ok(Some((attempt, reply, load))) => {
             if let Some(load) = load {
--- /dev/null
+++ b/crates/entry/src/suspects/cases.rs
@@ -0,0 +1,57 @@
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use kumquattiller_base::fingerprint::Fingerprint;
+use kumquattiller_base::time::Moment;
+use kumquattiller_recovery::suspect::Accused;
+use kumquattiller_recovery::suspect::Id;
+use kumquattiller_recovery::suspect::Registry;
+use kumquattiller_recovery::suspect::Standing;
+use kumquattiller_wire::link;
+use tokio::sync::Notify;
+
+/// The cases that a daemon knows.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    registry: Mutex<Registry>,
+    changed: Notify,
+}
+
+impl Suspects {
+    /// Takes a report in.
+    pub fn hear(&self, report: &link::Suspects, now: Moment) {
+        let mut new = false;
+        for suspect in &report.suspects {
+            let high = u128::from(suspect.fingerprint_high) << 64;
+            let fingerprint = Fingerprint::new(high | u128::from(suspect.fingerprint_low));
+            let accused = Accused { fingerprint, suspect: suspect.convicted };
+            new |= self.registry().died(accused, Id::new(suspect.death), now);
+            log::warn!(fingerprint:% = fingerprint, convicted = suspect.convicted; "engine died");
+        }
+        if new {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Returns how a request stands.
+    pub fn standing(&self, fingerprint: Fingerprint, now: Moment) -> Standing {
+        self.registry().standing(fingerprint, now)
+    }
+
+    /// Acquits a request that ended with its whole answer.
+    pub fn acquit(&self, fingerprint: Fingerprint) {
+        if self.registry().acquit(fingerprint) {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Waits until something new is known.
+    pub(super) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    pub(super) fn registry(&self) -> MutexGuard<'_, Registry> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/recovery/src/stream/mod.rs
+++ b/crates/recovery/src/stream/mod.rs
@@ -3,8 +3,11 @@
 mod drops;
 mod origin;
 mod receiver;
+mod replay;
 
 pub use drops::Drops;
 pub use origin::Origin;
 pub use receiver::Receiver;
 pub use receiver::Verdict;
+pub use replay::Mismatch;
+pub use replay::Replay;
--- a/crates/recovery/src/stream/receiver.rs
+++ b/crates/recovery/src/stream/receiver.rs
@@ -32,6 +32,11 @@
         Self { origin, next: offset, complete: false, drops: Drops::default() }
     }
 
+    /// Returns where the answer comes from.
+    pub const fn origin(&self) -> Origin {
+        self.origin
+    }
+
     /// Returns the offset of the next piece.
     pub const fn next(&self) -> u64 {
         self.next
--- a/crates/recovery/src/suspect/wire.rs
+++ b/crates/recovery/src/suspect/wire.rs
@@ -38,6 +38,15 @@
         Self { cases: cases.map(|(key, case)| (key.to_string(), line(case))).collect() }
     }
 
+    /// Tells whether both hold the same cases, whenever those are forgotten.
+    pub fn same_cases(&self, other: &Self) -> bool {
+        let plain = |wire: &Self| {
+            let line = |line: &Line| Line { until_ms: 0, ..line.clone() };
+            wire.cases.iter().map(|(key, case)| (key.clone(), line(case))).collect::<Vec<_>>()
+        };
+        plain(self) == plain(other)
+    }
+
     /// Merges the cases into a registry; returns whether any said anything new.
     ///
     /// Lines that cannot be read and lines that are over are passed over.
--- a/crates/recovery/tests/stream.rs
+++ b/crates/recovery/tests/stream.rs
@@ -4,8 +4,10 @@
 
 use kumquattiller_base::attempt;
 use kumquattiller_base::request;
+use kumquattiller_recovery::stream::Mismatch;
 use kumquattiller_recovery::stream::Origin;
 use kumquattiller_recovery::stream::Receiver;
+use kumquattiller_recovery::stream::Replay;
 use kumquattiller_recovery::stream::Verdict;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -143,3 +145,16 @@
     let drops = receiver.drops();
     assert_eq!((drops.repeated, drops.early, drops.crossed, drops.late), (2, 1, 1, 1));
 }
+
+#[test]
+fn a_further_attempt_delivers_only_what_is_new_and_the_same_so_far() {
+    let mut replay = Replay::default();
+    assert_eq!(replay.take(b"gas odour "), Ok(&b"gas odour "[..]));
+    replay.restart();
+    assert_eq!(replay.take(b"gas"), Ok(&b""[..]));
+    assert!(!replay.is_caught_up());
+    assert_eq!(replay.take(b" odour at"), Ok(&b"at"[..]));
+    assert!(replay.is_caught_up());
+    replay.restart();
+    assert_eq!(replay.take(b"gas smell"), Err(Mismatch));
+}
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod link;
 pub mod process;
 pub mod settings;
+pub mod suspects;
 pub mod work;
 
 pub use process::Process;
--- a/crates/runner/src/link/listener.rs
+++ b/crates/runner/src/link/listener.rs
@@ -25,7 +25,10 @@
 async fn serve(process: Process, stream: TcpStream) {
     let load = Some(process.load().into());
     match Link::accept(stream, process.identity(), process.config_version(), load).await {
-        Ok(link) => Session::new(process, link.sender, link.peer).run(link.receiver).await,
+        Ok(link) => {
+            process.suspects().report_on(link.sender.clone());
+            Session::new(process, link.sender, link.peer).run(link.receiver).await;
+        }
         Err(error) => log::debug!("link was not opened: {error}"),
     }
 }
--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use kumquattiller_base::error;
@@ -20,6 +21,9 @@
 use crate::link::subscription;
 use crate::work;
 
+/// When a suspect is to be tried again that was refused for another one's sake.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(200);
+
 /// One link from an entry daemon.
 #[derive(Debug)]
 pub struct Session {
@@ -133,6 +137,11 @@
         body: Bytes,
         promise: Promise,
     ) -> Result<(), Error> {
+        if !self.process.suspects().enter(attempt, &start) {
+            let load = self.process.load();
+            let kind = error::Kind::Overloaded;
+            return self.send(frames::refused(attempt, kind, Some(SUSPECT_PAUSE), load)).await;
+        }
         let (job, added) = self.process.jobs().add(Job::new(attempt, start));
         let accepted = link::Accepted {
             attempt: Some(attempt.into()),
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -25,6 +25,7 @@
 use crate::http;
 use crate::job;
 use crate::link;
+use crate::suspects::Suspects;
 
 /// Time between sweeps of the job table.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -44,6 +45,7 @@
     service: service::Client,
     memory: Account,
     jobs: job::Table,
+    suspects: Suspects,
     work: TaskTracker,
     leaving: AtomicBool,
     stopped: CancellationToken,
@@ -61,6 +63,7 @@
             zone: settings.zone.to_string(),
             role: "runner".to_owned(),
         };
+        let suspects = Suspects::new(&identity.name, identity.incarnation);
         let inner = Inner {
             engine: engine::Client::new(transport.clone(), &settings.backend.url),
             service: service::Client::new(transport, &settings.backend.url),
@@ -69,6 +72,7 @@
             identity,
             clock: Clock::start(),
             jobs: job::Table::default(),
+            suspects,
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
             stopped: CancellationToken::new(),
@@ -163,6 +167,11 @@
         &self.inner.jobs
     }
 
+    /// Returns the requests that an engine's death makes suspects.
+    pub fn suspects(&self) -> &Suspects {
+        &self.inner.suspects
+    }
+
     /// Tells whether new work is refused.
     pub fn is_leaving(&self) -> bool {
         self.inner.leaving.load(Ordering::SeqCst)
--- a/crates/runner/src/work/mod.rs
+++ b/crates/runner/src/work/mod.rs
@@ -25,5 +25,7 @@
         log::warn!(request:% = job.attempt().request, kind:%; "job failed: {detail}");
     }
     drop(promise);
+    let engine_died = matches!(end, End::Failed { backend_died: true, .. });
+    process.suspects().leave(job.attempt(), engine_died).await;
     job.finish(end, process.now());
 }
