support: fleets of real programs, relays and callers for the integration tests

Ruled out: fixed ports (parallel tests collide); each fleet draws a loopback address of its own. Conclusion: process tests stand in tests/testsuite/<topic>.rs.

--- /dev/null
+++ b/crates/support/src/fleet/builder.rs
@@ -0,0 +1,223 @@
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use kumquattiller_entry::source;
+use kumquattiller_inventory::Configuration;
+use kumquattiller_standins::engine;
+use kumquattiller_standins::platform;
+use kumquattiller_standins::service;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::address;
+use crate::fleet::Backend;
+use crate::fleet::Binaries;
+use crate::fleet::CREDENTIAL;
+use crate::fleet::Entry;
+use crate::fleet::Fleet;
+use crate::fleet::MODEL;
+use crate::fleet::MODEL_SERVICE;
+use crate::fleet::OTHER_CREDENTIAL;
+use crate::fleet::PLAIN_SERVICE;
+use crate::fleet::Runner;
+use crate::fleet::entry;
+use crate::fleet::runner;
+use crate::relay::Relay;
+
+/// Availability zone of the fleet.
+const ZONE: &str = "pasig";
+/// Region of the fleet.
+const REGION: &str = "luzon";
+
+/// Says what a fleet consists of.
+pub struct Builder {
+    binaries: Binaries,
+    entries: usize,
+    engines: usize,
+    services: usize,
+    engine: engine::Settings,
+    service: service::Settings,
+    platform: platform::Settings,
+    rules: Value,
+}
+
+impl Builder {
+    /// Begins with two entry daemons, two engines and no plain service.
+    pub fn new(binaries: Binaries) -> Self {
+        Self {
+            binaries,
+            entries: 2,
+            engines: 2,
+            services: 0,
+            engine: engine::Settings::default(),
+            service: service::Settings::default(),
+            platform: platform::Settings::default(),
+            rules: json!({}),
+        }
+    }
+
+    /// Sets the number of entry daemons.
+    pub const fn entries(mut self, count: usize) -> Self {
+        self.entries = count;
+        self
+    }
+
+    /// Sets the number of engines.
+    pub const fn engines(mut self, count: usize) -> Self {
+        self.engines = count;
+        self
+    }
+
+    /// Sets the number of plain services' backend servers.
+    pub const fn services(mut self, count: usize) -> Self {
+        self.services = count;
+        self
+    }
+
+    /// Sets how the engines behave.
+    pub fn engine(mut self, settings: engine::Settings) -> Self {
+        self.engine = settings;
+        self
+    }
+
+    /// Sets how the plain services behave.
+    pub fn service(mut self, settings: service::Settings) -> Self {
+        self.service = settings;
+        self
+    }
+
+    /// Sets how the platform behaves.
+    pub fn platform(mut self, settings: platform::Settings) -> Self {
+        self.platform = settings;
+        self
+    }
+
+    /// Sets the rules, as JSON.
+    pub fn rules(mut self, rules: Value) -> Self {
+        self.rules = rules;
+        self
+    }
+
+    /// Starts the fleet and waits until it serves.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the fleet cannot be started.
+    pub async fn start(self) -> Fleet {
+        let ip = address::draw();
+        let folder = std::env::temp_dir().join(format!("kumquattiller-{ip}"));
+        std::fs::create_dir_all(&folder).expect("folder can be made");
+        let platform = platform::Server::start(self.platform.clone());
+        let mut runners = Vec::new();
+        for index in 0..self.engines {
+            let server = engine::Server::start(self.engine.clone());
+            let url = server.url();
+            let backend = Backend::Engine(server);
+            runners.push(self.runner(&folder, ip, index, backend, &url, &platform).await);
+        }
+        for index in self.engines..self.engines + self.services {
+            let server = service::Server::start(self.service.clone());
+            let url = server.url();
+            let backend = Backend::Service(server);
+            runners.push(self.runner(&folder, ip, index, backend, &url, &platform).await);
+        }
+        let configuration = self.configuration(&runners);
+        let value = serde_json::to_value(&configuration).expect("configuration is JSON");
+        platform.put(source::KIND, source::NAME, value);
+        let entries = (0..self.entries).map(|i| self.entry(&folder, ip, i, &platform)).collect();
+        let binaries = self.binaries;
+        let fleet = Fleet { binaries, folder, ip, platform, entries, runners, configuration };
+        fleet.ready().await;
+        fleet
+    }
+
+    /// Starts an entry daemon.
+    fn entry(
+        &self,
+        folder: &Path,
+        ip: Ipv4Addr,
+        index: usize,
+        platform: &platform::Server,
+    ) -> Entry {
+        let id = format!("entry-{index}");
+        let http = address::free_port(ip);
+        let link = address::free_port(ip);
+        let settings = json!({
+            "id": id, "region": REGION, "zone": ZONE, "http_address": http,
+            "link_address": link, "platform_url": platform.url(), "drain_grace_ms": 300,
+        });
+        let file = write(folder, &id, &settings);
+        let program = entry::start(&self.binaries, &file);
+        Entry { id, http, link, settings: file, program }
+    }
+
+    /// Starts a runner process and the relay before it.
+    async fn runner(
+        &self,
+        folder: &Path,
+        ip: Ipv4Addr,
+        index: usize,
+        backend: Backend,
+        url: &str,
+        platform: &platform::Server,
+    ) -> Runner {
+        let id = format!("runner-{index}");
+        let link = address::free_port(ip);
+        let kind = match backend {
+            Backend::Engine(_) => "model",
+            Backend::Service(_) => "plain",
+        };
+        let settings = json!({
+            "id": id, "zone": ZONE, "link_address": link,
+            "http_address": address::free_port(ip),
+            "backend": {"kind": kind, "url": url, "memory": self.engine.memory.get()},
+            "platform_url": platform.url(),
+        });
+        let file = write(folder, &id, &settings);
+        let program = runner::start(&self.binaries, &file);
+        let relay = Relay::start(SocketAddr::from((ip, 0)), link).await;
+        Runner { id, link, relay, settings: file, program, backend }
+    }
+
+    /// Returns the fleet's first configuration.
+    fn configuration(&self, runners: &[Runner]) -> Configuration {
+        let lines: Vec<Value> = runners
+            .iter()
+            .map(|runner| {
+                let service = match runner.backend {
+                    Backend::Engine(_) => MODEL_SERVICE,
+                    Backend::Service(_) => PLAIN_SERVICE,
+                };
+                let address = runner.relay.address();
+                json!({"id": runner.id, "service": service, "zone": ZONE, "address": address})
+            })
+            .collect();
+        let value = json!({
+            "version": 1,
+            "register": {
+                "places": [{"region": REGION, "zones": [ZONE]}],
+                "services": [
+                    {"name": MODEL_SERVICE, "kind": "model", "models": [MODEL],
+                     "engine_memory": self.engine.memory.get()},
+                    {"name": PLAIN_SERVICE, "kind": "plain"},
+                ],
+                "runners": lines,
+                "accounts": [
+                    {"id": "hotline", "credential": CREDENTIAL},
+                    {"id": "wards", "credential": OTHER_CREDENTIAL},
+                ],
+            },
+            "rules": self.rules,
+        });
+        serde_json::from_value(value).expect("configuration is valid")
+    }
+}
+
+/// Writes a settings file.
+fn write(folder: &Path, id: &str, settings: &Value) -> PathBuf {
+    let file = folder.join(format!("{id}.json"));
+    std::fs::write(&file, settings.to_string()).expect("settings can be written");
+    file
+}
--- /dev/null
+++ b/tests/testsuite/path.rs
@@ -0,0 +1,66 @@
+//! The path of a request from its caller to a backend server and back.
+
+use kumquattiller_support::caller::Caller;
+use kumquattiller_support::caller::Piece;
+use kumquattiller_support::fleet::MODEL;
+use kumquattiller_support::fleet::PLAIN_SERVICE;
+use serde_json::json;
+
+use crate::support::fleet;
+
+/// Bytes of prompt text to a token.
+const BYTES_PER_TOKEN: usize = 4;
+
+fn prompt(tokens: usize) -> String {
+    "gas ".repeat(tokens * BYTES_PER_TOKEN / 4)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_streamed_answer_equals_the_whole_one() {
+    let fleet = fleet().start().await;
+    let caller = fleet.caller(0);
+    let whole = caller.complete(&Caller::completion(MODEL, &prompt(1_000), 20, false)).await;
+    assert_eq!(whole.status, 200, "{whole:?}");
+    assert_eq!(whole.body["usage"]["completion_tokens"], 20);
+    let body = Caller::completion(MODEL, &prompt(1_000), 20, true);
+    let mut stream = caller.stream(&body).await.expect("answer is streamed");
+    let (text, end) = stream.rest().await;
+    assert_eq!(end, Piece::Done);
+    assert_eq!(text, whole.text());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_continued_through_another_entry_daemon() {
+    let mut fleet = fleet().start().await;
+    let body = Caller::completion(MODEL, &prompt(1_000), 60, true);
+    let whole = fleet.caller(1).complete(&body_whole()).await;
+    let mut stream = fleet.caller(0).stream(&body).await.expect("answer is streamed");
+    let Piece::Text(mut text) = stream.next().await else {
+        panic!("the stream begins with text");
+    };
+    fleet.entries[0].program.kill().await;
+    while let Piece::Text(more) = stream.next().await {
+        text.push_str(&more);
+    }
+    let last = stream.last_event_id().to_owned();
+    let mut rest = fleet.caller(1).resume(&last).await.expect("stream is continued");
+    let (more, end) = rest.rest().await;
+    assert_eq!(end, Piece::Done);
+    assert_eq!(text + &more, whole.text());
+}
+
+/// Returns the whole form of the request that is continued.
+fn body_whole() -> serde_json::Value {
+    Caller::completion(MODEL, &prompt(1_000), 60, false)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_service_answers_with_its_own_status() {
+    let fleet = fleet().services(1).start().await;
+    let caller = fleet.caller(0);
+    let body = json!({"street": "Shaw"});
+    let without_key = caller.call(PLAIN_SERVICE, "POST", "/dispatch", None, &body).await;
+    assert_eq!((without_key.status, without_key.kind()), (400, "missing_key"));
+    let posted = caller.call(PLAIN_SERVICE, "POST", "/dispatch", Some("key-1"), &body).await;
+    assert!((200..300).contains(&posted.status), "{posted:?}");
+}
