--- /dev/null
+++ b/crates/telemetry/tests/metrics.rs
@@ -0,0 +1,51 @@
+//! The families of `/metrics`.
+
+use std::time::Duration;
+
+use kumquattiller_base::error::Kind;
+use kumquattiller_base::outcome::Outcome;
+use kumquattiller_base::size::Tokens;
+use kumquattiller_telemetry::metrics::Band;
+use kumquattiller_telemetry::metrics::LinkKind;
+use kumquattiller_telemetry::metrics::Metrics;
+use test_case::test_case;
+
+#[test]
+fn every_family_is_encoded() {
+    let metrics = Metrics::default();
+    metrics.outcome(&Outcome::Done { tokens: Tokens::new(3) });
+    metrics.outcome(&Outcome::Failed(Kind::DeadlineExceeded));
+    metrics.retry();
+    metrics.dropped_frame();
+    metrics.first_token(Tokens::new(1_000), Duration::from_millis(30));
+    metrics.token_gap(Tokens::new(200_000), Duration::from_millis(20));
+    metrics.admitted();
+    metrics.config_version(7);
+    metrics.links(LinkKind::Runner, 4);
+    metrics.control_bytes(LinkKind::Entry, 120);
+    let text = metrics.encode();
+    for line in [
+        "kumquattiller_requests_total{outcome=\"done\"} 1",
+        "kumquattiller_requests_total{outcome=\"failed\"} 1",
+        "kumquattiller_errors_total{kind=\"deadline_exceeded\"} 1",
+        "kumquattiller_retries_total 1",
+        "kumquattiller_dropped_frames_total 1",
+        "kumquattiller_time_to_first_token_seconds_count{prompt_band=\"up_to_8k\"} 1",
+        "kumquattiller_token_gap_seconds_count{prompt_band=\"over_100k\"} 1",
+        "kumquattiller_running 1",
+        "kumquattiller_config_version 7",
+        "kumquattiller_links{peer=\"runner\"} 4",
+        "kumquattiller_control_bytes_total{peer=\"entry\"} 120",
+    ] {
+        assert!(text.contains(line), "{line} not in\n{text}");
+    }
+}
+
+#[test_case(1, Band::UpTo8k ; "one token")]
+#[test_case(8_000, Band::UpTo8k ; "most of the short")]
+#[test_case(8_001, Band::From8kTo100k ; "least of the medium")]
+#[test_case(100_000, Band::From8kTo100k ; "most of the medium")]
+#[test_case(1_000_000, Band::Over100k ; "a million")]
+fn prompts_have_bands(tokens: u64, band: Band) {
+    assert_eq!(Band::of(Tokens::new(tokens)), band);
+}
--- /dev/null
+++ b/crates/telemetry/tests/traces.rs
@@ -0,0 +1,73 @@
+//! Spans reach a collector by OTLP over HTTP, and hops join one trace.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquattiller_base::request;
+use kumquattiller_telemetry::traces;
+use kumquattiller_telemetry::traces::Context;
+use poem::EndpointExt;
+use poem::Route;
+use poem::Server;
+use poem::handler;
+use poem::listener::Acceptor;
+use poem::listener::Listener;
+use poem::listener::TcpListener;
+use poem::post;
+use poem::web::Data;
+use test_case::test_case;
+use tokio::sync::mpsc;
+
+/// Longest wait for an export.
+const EXPORT_TIMEOUT: Duration = Duration::from_secs(20);
+
+const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
+
+#[handler]
+async fn collect(body: Vec<u8>, exports: Data<&Arc<mpsc::UnboundedSender<Vec<u8>>>>) {
+    let _ = exports.send(body);
+}
+
+fn holds(body: &[u8], part: &[u8]) -> bool {
+    body.windows(part.len()).any(|w| w == part)
+}
+
+#[test_case(None, false ; "no header")]
+#[test_case(Some("nonsense"), false ; "malformed header")]
+#[test_case(Some("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"), true ; "w3c header")]
+fn context_is_taken_from_the_header(header: Option<&str>, kept: bool) {
+    let text = Context::of(header).to_string();
+    assert_eq!(text.contains(TRACE), kept, "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_hops_reach_the_collector_in_one_trace() {
+    let (sender, mut exports) = mpsc::unbounded_channel::<Vec<u8>>();
+    let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await.expect("port");
+    let address = acceptor.local_addr()[0].as_socket_addr().copied().expect("address");
+    let app = Route::new().at("/v1/traces", post(collect)).data(Arc::new(sender));
+    tokio::spawn(Server::new_with_acceptor(acceptor).run(app));
+
+    traces::export(&format!("http://{address}/v1/traces"), "sample").expect("exporter");
+    let request = request::Id::from_u128(9);
+    let header = format!("00-{TRACE}-b7ad6b7169203331-01");
+    let first = Context::of(Some(&header)).span("entry", request);
+    let sent = Context::of(Some(&header)).within(&first).to_string();
+    assert!(sent.contains(TRACE) && !sent.contains("b7ad6b7169203331"), "{sent}");
+    let second = Context::of(Some(&sent)).span("runner", request);
+    drop(second);
+    drop(first);
+    tokio::task::spawn_blocking(traces::flush).await.expect("flush");
+
+    let trace: Vec<u8> = (0..TRACE.len())
+        .step_by(2)
+        .map(|i| u8::from_str_radix(&TRACE[i..i + 2], 16).expect("digits"))
+        .collect();
+    let mut seen = Vec::new();
+    while !(holds(&seen, b"entry") && holds(&seen, b"runner")) {
+        let body = tokio::time::timeout(EXPORT_TIMEOUT, exports.recv()).await.expect("an export");
+        seen.extend(body.expect("collector runs"));
+    }
+    assert!(holds(&seen, &trace), "the trace id is not in the export");
+    assert!(holds(&seen, request.to_string().as_bytes()), "the request id is not in the export");
+}
