serve, runner program, and telemetry in both processes

Cause: nothing started the daemons, and they told nothing of themselves. Both programs check their settings whole, export traces when an endpoint is set, and end on SIGTERM. Metrics are on /metrics of both, decisions are asked for over links. Links count the bytes of control frames both ways, for the capacity figures. Ruled out: a process-wide counter of control bytes, as it cannot tell kinds of links apart.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -13,12 +13,15 @@
 use kumquattiller_link::Clock;
 use kumquattiller_link::Identity;
 use kumquattiller_link::incarnation;
+use kumquattiller_telemetry::Recorder;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::Settings;
 use crate::http;
+use crate::link;
 use crate::runners::Pool;
 use crate::snapshot::Snapshot;
 use crate::source;
@@ -37,6 +40,7 @@
     platform: platform::Client,
     snapshots: watch::Sender<Arc<Snapshot>>,
     runners: Pool,
+    recorder: Recorder,
     work: TaskTracker,
     leaving: AtomicBool,
     refusing: AtomicBool,
@@ -59,6 +63,7 @@
             clock: Clock::start(),
             snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
             runners: Pool::default(),
+            recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
@@ -74,10 +79,12 @@
     /// Fails when an address cannot be listened on.
     pub async fn run(self, shutdown: impl Future<Output = ()>) -> std::io::Result<()> {
         let server = http::start(self.clone()).await?;
+        let links = TcpListener::bind(self.settings().link_address).await?;
         log::info!(
             daemon:% = self.settings().id, address:% = self.settings().http_address;
             "entry daemon serves"
         );
+        tokio::spawn(link::run(self.clone(), links));
         tokio::spawn(source::run(self.clone()));
         shutdown.await;
         self.stop(server).await;
@@ -152,6 +159,16 @@
         &self.inner.runners
     }
 
+    /// Returns the metrics and the decisions.
+    pub fn recorder(&self) -> &Recorder {
+        &self.inner.recorder
+    }
+
+    /// Notes a decision about a request.
+    pub fn note(&self, request: request::Id, decision: &str) {
+        self.recorder().note(self.now(), request, decision);
+    }
+
     /// Tells whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
         !self.inner.leaving.load(Ordering::SeqCst)
--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -52,7 +52,19 @@
 
     /// Runs attempts until the request has its outcome, and hands it over.
     pub async fn run(mut self) {
+        let span = self.request.trace.span("request", self.request.id);
+        self.request.trace = self.request.trace.within(&span);
+        self.daemon.recorder().metrics().admitted();
+        self.note(&format!(
+            "admitted for {} with {}, {} ms left",
+            self.request.service,
+            self.request.prompt,
+            self.request.deadline.left(self.daemon.now()).as_millis()
+        ));
         let end = self.attempts().await;
+        self.note(&format!("ended: {:?}", end.outcome));
+        self.daemon.recorder().metrics().ended();
+        self.daemon.recorder().metrics().outcome(&end.outcome);
         log::info!(
             request:% = self.request.id, account:% = self.request.account,
             outcome:? = end.outcome;
@@ -79,6 +91,8 @@
             match self.attempt(attempt, call).await {
                 Ended::With(end) => return end,
                 Ended::Refused(sent, kind, retry_after) => {
+                    self.note(&format!("the runner refused: {kind}"));
+                    self.daemon.recorder().metrics().retry();
                     reason = (kind, retry_after);
                     attempt = sent.refuse().again();
                 }
@@ -86,6 +100,8 @@
                     return Outcome::Unknown(kind).into();
                 }
                 Ended::Lost(sent, kind) => {
+                    self.note(&format!("the attempt was lost: {kind}"));
+                    self.daemon.recorder().metrics().retry();
                     reason = (kind, None);
                     attempt = sent.again();
                 }
@@ -96,8 +112,11 @@
     /// Runs one attempt on a runner.
     async fn attempt(&self, attempt: Attempt<Unsent>, mut call: Call) -> Ended {
         let number = WireAttempt { request: attempt.request(), number: attempt.number() };
+        let span = self.request.trace.span("attempt", self.request.id);
+        let trace = self.request.trace.within(&span);
+        self.note(&format!("attempt {} on runner {}", number.number, call.runner()));
         let sent = attempt.send();
-        if call.start(&self.request, number, self.daemon.now()).await.is_err() {
+        if call.start(&self.request, number, self.daemon.now(), trace).await.is_err() {
             return Ended::Lost(sent, error::Kind::RunnerLost);
         }
         let mut stream = Stream::default();
@@ -139,6 +158,7 @@
     ) -> Step {
         match (stream.judge(&reply), reply) {
             (Verdict::Deliver, Reply::Chunk { incarnation, data, .. }) => {
+                stream.measure(&self.daemon, &self.request);
                 let runner = call.runner().clone();
                 let position = Position { runner, incarnation, attempt, offset: stream.next() };
                 let _ = self.output.send(Output::Chunk(Chunk { position, data })).await;
@@ -155,6 +175,11 @@
         }
     }
 
+    /// Notes a decision about the request.
+    fn note(&self, decision: &str) {
+        self.daemon.note(self.request.id, decision);
+    }
+
     /// Ends an attempt whose link was lost.
     fn lost(&self, sent: Attempt<Sent>, stream: &Stream) -> Ended {
         if stream.next() == 0 {
--- a/crates/entry/src/drive/stream.rs
+++ b/crates/entry/src/drive/stream.rs
@@ -1,9 +1,14 @@
+use kumquattiller_base::time::Moment;
+
+use crate::Daemon;
+use crate::request::Admitted;
 use crate::runners::Reply;
 
 /// The part of an answer that came from one attempt.
 #[derive(Debug, Default)]
 pub struct Stream {
     next: u64,
+    last: Option<Moment>,
 }
 
 /// What a reply means for the stream.
@@ -25,6 +30,16 @@
         self.next
     }
 
+    /// Counts the time to the first piece, or since the last one.
+    pub fn measure(&mut self, daemon: &Daemon, request: &Admitted) {
+        let now = daemon.now();
+        let metrics = daemon.recorder().metrics();
+        match self.last.replace(now) {
+            None => metrics.first_token(request.prompt, now.since(request.arrived)),
+            Some(last) => metrics.token_gap(request.prompt, now.since(last)),
+        }
+    }
+
     /// Judges a reply and counts a delivered piece.
     pub fn judge(&mut self, reply: &Reply) -> Verdict {
         match reply {
--- a/crates/entry/src/http/handlers.rs
+++ b/crates/entry/src/http/handlers.rs
@@ -4,6 +4,8 @@
 use kumquattiller_base::error;
 use kumquattiller_inventory::configuration;
 use poem::Body;
+use poem::IntoResponse;
+use poem::Response;
 use tokio::sync::mpsc;
 
 use crate::Daemon;
@@ -26,6 +28,12 @@
     Ok(())
 }
 
+/// Counts and answers a request that was not admitted.
+pub fn refuse(daemon: &Daemon, error: Error) -> Response {
+    daemon.recorder().metrics().refusal(error.kind);
+    error.into_response()
+}
+
 /// Reads a body up to the limit of the rules.
 pub async fn read_body(daemon: &Daemon, body: Body) -> Result<Bytes, Error> {
     let limit = daemon.snapshot().configuration().rules.body_limit;
--- a/crates/entry/src/http/headers.rs
+++ b/crates/entry/src/http/headers.rs
@@ -5,6 +5,7 @@
 use kumquattiller_base::account;
 use kumquattiller_base::error;
 use kumquattiller_base::request;
+use kumquattiller_telemetry::traces;
 use poem::http::HeaderMap;
 use poem::http::header::AUTHORIZATION;
 
@@ -60,6 +61,12 @@
     text.parse().map(Some).map_err(|_| invalid(LAST_EVENT_ID, "is not one of this system"))
 }
 
+/// Returns where the request stands in its trace; without a valid header a trace starts here.
+pub fn trace(headers: &HeaderMap) -> traces::Context {
+    let value = headers.get(traces::HEADER).and_then(|value| value.to_str().ok());
+    traces::Context::of(value)
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Error> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
--- /dev/null
+++ b/crates/entry/src/http/metrics.rs
@@ -0,0 +1,17 @@
+//! Metrics.
+
+use kumquattiller_telemetry::metrics::LinkKind;
+use poem::handler;
+use poem::web::Data;
+
+use crate::Daemon;
+
+/// Answers the metrics in the OpenMetrics form.
+#[handler]
+pub fn metrics(Data(daemon): Data<&Daemon>) -> String {
+    let metrics = daemon.recorder().metrics();
+    let open = daemon.runners().all().iter().filter(|remote| remote.sender().is_some()).count();
+    metrics.links(LinkKind::Runner, open);
+    metrics.config_version(daemon.config_version().get());
+    metrics.encode()
+}
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod handlers;
 mod headers;
 mod health;
+mod metrics;
 mod models;
 mod plain;
 mod resume;
--- a/crates/entry/src/http/models.rs
+++ b/crates/entry/src/http/models.rs
@@ -5,7 +5,6 @@
 use kumquattiller_base::fingerprint::Fingerprint;
 use kumquattiller_base::service;
 use poem::Body;
-use poem::IntoResponse;
 use poem::Response;
 use poem::handler;
 use poem::http::HeaderMap;
@@ -29,13 +28,15 @@
 /// Serves `POST /v1/completions`.
 #[handler]
 pub async fn completions(Data(daemon): Data<&Daemon>, headers: &HeaderMap, body: Body) -> Response {
-    serve(daemon, headers, body, Shape::Completion).await.unwrap_or_else(Error::into_response)
+    serve(daemon, headers, body, Shape::Completion)
+        .await
+        .unwrap_or_else(|e| handlers::refuse(daemon, e))
 }
 
 /// Serves `POST /v1/chat/completions`.
 #[handler]
 pub async fn chat(Data(daemon): Data<&Daemon>, headers: &HeaderMap, body: Body) -> Response {
-    serve(daemon, headers, body, Shape::Chat).await.unwrap_or_else(Error::into_response)
+    serve(daemon, headers, body, Shape::Chat).await.unwrap_or_else(|e| handlers::refuse(daemon, e))
 }
 
 async fn serve(
@@ -45,6 +46,8 @@
     shape: Shape,
 ) -> Result<Response, Error> {
     handlers::check_serving(daemon)?;
+    let arrived = daemon.now();
+    let trace = headers::trace(headers);
     let account = headers::account(headers, &daemon.snapshot())?;
     if let Some(event_id) = headers::last_event_id(headers)? {
         return Ok(resume::serve(daemon, account, event_id, shape).await);
@@ -77,8 +80,10 @@
         max_tokens: parts.max_tokens,
         idempotent,
         key,
-        deadline: Deadline::after(daemon.now(), span),
+        deadline: Deadline::after(arrived, span),
         blocks: hash_blocks(parts.prompt.as_bytes()),
+        arrived,
+        trace,
         body: parts.prompt.into(),
     };
     let prompt = request.prompt;
--- a/crates/entry/src/http/plain.rs
+++ b/crates/entry/src/http/plain.rs
@@ -31,7 +31,9 @@
     request: &Request,
     body: Body,
 ) -> Response {
-    serve(daemon, &service, &path, request, body).await.unwrap_or_else(Error::into_response)
+    serve(daemon, &service, &path, request, body)
+        .await
+        .unwrap_or_else(|e| handlers::refuse(daemon, e))
 }
 
 async fn serve(
@@ -42,6 +44,8 @@
     body: Body,
 ) -> Result<Response, Error> {
     handlers::check_serving(daemon)?;
+    let arrived = daemon.now();
+    let trace = headers::trace(request.headers());
     let snapshot = daemon.snapshot();
     let account = headers::account(request.headers(), &snapshot)?;
     let service: service::Name = service.parse().map_err(|_| error::Kind::UnknownService)?;
@@ -75,8 +79,10 @@
         max_tokens: Tokens::ZERO,
         idempotent,
         key,
-        deadline: Deadline::after(daemon.now(), span),
+        deadline: Deadline::after(arrived, span),
         blocks: Vec::new(),
+        arrived,
+        trace,
         body: data,
     };
     Ok(answer(id, handlers::drive(daemon, request)).await)
--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -19,6 +19,7 @@
 use crate::Daemon;
 use crate::http::Error;
 use crate::http::health;
+use crate::http::metrics;
 use crate::http::models;
 use crate::http::plain;
 
@@ -76,6 +77,7 @@
         .at("/services/:service/*path", plain::call)
         .at("/healthz", get(health::healthz))
         .at("/readyz", get(health::readyz))
+        .at("/metrics", get(metrics::metrics))
         .at("/*path", not_found)
         .data(daemon)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,11 +4,13 @@
 //! way of a request: [`http`] reads it and authenticates the client account, [`request`] turns it
 //! into an admitted request with a deadline, [`drive`] runs attempts on runners until one ends,
 //! and [`runners`] carries frames over the links. What the daemon knows of the fleet is a
-//! [`snapshot::Snapshot`] of the accepted configuration, kept by [`source`].
+//! [`snapshot::Snapshot`] of the accepted configuration, kept by [`source`]; [`link`] answers
+//! other daemons and operators.
 
 pub mod daemon;
 pub mod drive;
 pub mod http;
+pub mod link;
 pub mod request;
 pub mod runners;
 pub mod settings;
--- a/crates/entry/src/request/admitted.rs
+++ b/crates/entry/src/request/admitted.rs
@@ -5,6 +5,8 @@
 use kumquattiller_base::request;
 use kumquattiller_base::service;
 use kumquattiller_base::size::Tokens;
+use kumquattiller_base::time::Moment;
+use kumquattiller_telemetry::traces;
 
 /// A request that was read, authenticated and given a deadline.
 #[derive(Debug, Clone)]
@@ -35,6 +37,10 @@
     pub fingerprint: Fingerprint,
     /// Hashes of the prompt's prefix blocks.
     pub blocks: Vec<u64>,
+    /// When it arrived.
+    pub arrived: Moment,
+    /// Where it stands in its trace.
+    pub trace: traces::Context,
     /// The prompt's text, or the body of a plain call.
     pub body: Bytes,
 }
--- a/crates/entry/src/runners/call.rs
+++ b/crates/entry/src/runners/call.rs
@@ -4,6 +4,7 @@
 use kumquattiller_base::time::Moment;
 use kumquattiller_link::Closed;
 use kumquattiller_link::Sender;
+use kumquattiller_telemetry::traces;
 use kumquattiller_wire::Attempt;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::link;
@@ -42,9 +43,11 @@
         request: &Admitted,
         attempt: Attempt,
         now: Moment,
+        trace: traces::Context,
     ) -> Result<(), Closed> {
         self.current = Some((attempt, self.remote.wait_for(attempt)));
-        let start = start_frame(request, attempt, self.remote.incarnation(), now);
+        let mut start = start_frame(request, attempt, self.remote.incarnation(), now);
+        start.trace_parent = trace.to_string();
         self.sender.send(Body::Start(start)).await?;
         self.sender.send_body(attempt, &request.body).await
     }
--- a/crates/entry/src/runners/dialer.rs
+++ b/crates/entry/src/runners/dialer.rs
@@ -4,6 +4,7 @@
 use kumquattiller_link::Link;
 use kumquattiller_link::Receiver;
 use kumquattiller_link::Sender;
+use kumquattiller_telemetry::metrics::LinkKind;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::Load;
 use kumquattiller_wire::link;
@@ -102,6 +103,7 @@
             }
             if !remote.deliver(attempt, reply) {
                 log::debug!(request:% = attempt.request; "frame of another attempt was dropped");
+                daemon.recorder().metrics().dropped_frame();
             }
         }
         Ok(None) => log::debug!(runner:% = remote.runner().id; "frame is not expected"),
@@ -113,9 +115,13 @@
 async fn beat(daemon: &Daemon, sender: &Sender) {
     let mut ticks = interval(HEARTBEAT_INTERVAL);
     let mut nonce = 0;
+    let mut counted = 0;
     loop {
         ticks.tick().await;
         nonce += 1;
+        let control = sender.control_bytes();
+        daemon.recorder().metrics().control_bytes(LinkKind::Runner, control - counted);
+        counted = control;
         let heartbeat = link::Heartbeat {
             config_version: daemon.config_version().get(),
             load: None,
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -20,6 +20,7 @@
 
 use crate::Identity;
 use crate::Sender;
+use crate::control;
 
 /// Frames that wait to be written.
 const QUEUE_FRAMES: usize = 256;
@@ -45,6 +46,7 @@
 #[derive(Debug)]
 pub struct Receiver {
     frames: FramedRead<OwnedReadHalf, Codec>,
+    control_bytes: Arc<AtomicU64>,
 }
 
 impl Receiver {
@@ -55,7 +57,9 @@
     /// Fails when the connection fails or the bytes are not a frame.
     pub async fn next(&mut self) -> Result<Option<Body>, Error> {
         while let Some(frame) = self.frames.next().await {
-            if let Some(body) = frame?.body {
+            let frame = frame?;
+            self.control_bytes.fetch_add(control::bytes_of(&frame), Ordering::Relaxed);
+            if let Some(body) = frame.body {
                 return Ok(Some(body));
             }
         }
@@ -152,9 +156,11 @@
     let (read, write) = stream.into_split();
     let (queue, frames) = mpsc::channel(QUEUE_FRAMES);
     let sent_bytes = Arc::new(AtomicU64::new(0));
-    tokio::spawn(write_frames(write, frames, Arc::clone(&sent_bytes)));
-    let receiver = Receiver { frames: FramedRead::new(read, Codec::default()) };
-    Ok((Sender::new(queue, sent_bytes), receiver))
+    let control_bytes = Arc::new(AtomicU64::new(0));
+    tokio::spawn(write_frames(write, frames, Arc::clone(&sent_bytes), Arc::clone(&control_bytes)));
+    let frames = FramedRead::new(read, Codec::default());
+    let receiver = Receiver { frames, control_bytes: Arc::clone(&control_bytes) };
+    Ok((Sender::new(queue, sent_bytes, control_bytes), receiver))
 }
 
 /// Writes queued frames until the queue or the connection closes.
@@ -162,13 +168,16 @@
     write: OwnedWriteHalf,
     mut frames: mpsc::Receiver<Frame>,
     sent_bytes: Arc<AtomicU64>,
+    control_bytes: Arc<AtomicU64>,
 ) {
     let mut sink = FramedWrite::new(write, Codec::default());
     while let Some(frame) = frames.recv().await {
+        control_bytes.fetch_add(control::bytes_of(&frame), Ordering::Relaxed);
         if sink.feed(frame).await.is_err() {
             return;
         }
         while let Ok(frame) = frames.try_recv() {
+            control_bytes.fetch_add(control::bytes_of(&frame), Ordering::Relaxed);
             if sink.feed(frame).await.is_err() {
                 return;
             }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod closed;
 mod connection;
+mod control;
 mod identity;
 pub mod incarnation;
 mod sender;
--- a/crates/link/src/sender.rs
+++ b/crates/link/src/sender.rs
@@ -19,11 +19,16 @@
 pub struct Sender {
     queue: mpsc::Sender<Frame>,
     sent_bytes: Arc<AtomicU64>,
+    control_bytes: Arc<AtomicU64>,
 }
 
 impl Sender {
-    pub(crate) const fn new(queue: mpsc::Sender<Frame>, sent_bytes: Arc<AtomicU64>) -> Self {
-        Self { queue, sent_bytes }
+    pub(crate) const fn new(
+        queue: mpsc::Sender<Frame>,
+        sent_bytes: Arc<AtomicU64>,
+        control_bytes: Arc<AtomicU64>,
+    ) -> Self {
+        Self { queue, sent_bytes, control_bytes }
     }
 
     /// Queues a frame, waiting for room.
@@ -72,4 +77,9 @@
     pub fn sent_bytes(&self) -> u64 {
         self.sent_bytes.load(Ordering::Relaxed)
     }
+
+    /// Returns the bytes of control frames, sent and received, on the link so far.
+    pub fn control_bytes(&self) -> u64 {
+        self.control_bytes.load(Ordering::Relaxed)
+    }
 }
--- a/crates/runner/src/http/mod.rs
+++ b/crates/runner/src/http/mod.rs
@@ -20,7 +20,11 @@
 pub async fn start(process: Process) -> std::io::Result<JoinHandle<()>> {
     let address = process.settings().http_address;
     let acceptor = poem::listener::Listener::into_acceptor(TcpListener::bind(address)).await?;
-    let routes = Route::new().at("/healthz", get(healthz)).at("/readyz", get(readyz)).data(process);
+    let routes = Route::new()
+        .at("/healthz", get(healthz))
+        .at("/readyz", get(readyz))
+        .at("/metrics", get(metrics))
+        .data(process);
     Ok(tokio::spawn(async move {
         if let Err(error) = Server::new_with_acceptor(acceptor).run(routes).await {
             log::error!("HTTP server ended: {error}");
@@ -42,3 +46,10 @@
     }
     (StatusCode::OK, "ready\n")
 }
+
+/// Answers the metrics in the OpenMetrics form.
+#[handler]
+fn metrics(Data(process): Data<&Process>) -> String {
+    process.recorder().metrics().config_version(process.config_version());
+    process.recorder().metrics().encode()
+}
--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use kumquattiller_base::error;
+use kumquattiller_base::request;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_link::Identity;
 use kumquattiller_link::Receiver;
@@ -60,6 +61,7 @@
             Body::Cancel(cancel) => self.cancel(cancel),
             Body::Resume(resume) => self.resume(&resume).await,
             Body::Heartbeat(heartbeat) => self.heartbeat(&heartbeat).await,
+            Body::Explain(question) => self.explain(question).await,
             _ => Err(Error::Invalid("body")),
         }
     }
@@ -77,6 +79,10 @@
                 self.run_if_complete(attempt).await
             }
             Err(kind) => {
+                let decision = format!("the runner refused attempt {}: {kind}", attempt.number);
+                let recorder = self.process.recorder();
+                recorder.metrics().refusal(kind);
+                recorder.note(self.process.now(), attempt.request, &decision);
                 let load = self.process.load();
                 self.send(frames::refused(attempt, kind, None, load)).await
             }
@@ -176,6 +182,15 @@
         }
     }
 
+    /// Answers with the decisions about a request.
+    async fn explain(&self, question: link::Explain) -> Result<(), Error> {
+        let id = question.request.map(request::Id::from).ok_or(Error::Missing("request"))?;
+        let own = &self.process.settings().id;
+        let lines = self.process.recorder().lines(self.process.now(), id);
+        let lines = lines.iter().map(|line| format!("{own}: {line}")).collect();
+        self.send(Body::Explained(link::Explained { request: Some(id.into()), lines })).await
+    }
+
     /// Answers a heartbeat with the load.
     async fn heartbeat(&self, heartbeat: &link::Heartbeat) -> Result<(), Error> {
         if heartbeat.reply {
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -14,6 +14,7 @@
 use kumquattiller_link::Clock;
 use kumquattiller_link::Identity;
 use kumquattiller_link::incarnation;
+use kumquattiller_telemetry::Recorder;
 use kumquattiller_wire::Load;
 use tokio::net::TcpListener;
 use tokio::time::interval;
@@ -44,6 +45,7 @@
     service: service::Client,
     memory: Account,
     jobs: job::Table,
+    recorder: Recorder,
     work: TaskTracker,
     leaving: AtomicBool,
     stopped: CancellationToken,
@@ -69,6 +71,7 @@
             identity,
             clock: Clock::start(),
             jobs: job::Table::default(),
+            recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
             stopped: CancellationToken::new(),
@@ -163,6 +166,11 @@
         &self.inner.jobs
     }
 
+    /// Returns the metrics and the decisions.
+    pub fn recorder(&self) -> &Recorder {
+        &self.inner.recorder
+    }
+
     /// Tells whether new work is refused.
     pub fn is_leaving(&self) -> bool {
         self.inner.leaving.load(Ordering::SeqCst)
--- a/src/bin/kumquattiller-runner/main.rs
+++ b/src/bin/kumquattiller-runner/main.rs
@@ -1,2 +1,9 @@
 //! The process beside each backend server.
-fn main() {}
+
+mod cli;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::main(pico_args::Arguments::from_env())
+}
--- a/src/command/arguments.rs
+++ b/src/command/arguments.rs
@@ -11,15 +11,19 @@
 ///
 /// # Errors
 ///
-/// Fails when the option is missing, has no value or a value that cannot be read.
-pub fn required<T>(args: &mut Arguments, name: &'static str) -> error::Result<T>
+/// Fails when the option is missing, has no value or a value that cannot be read; an argument
+/// that `cli` does not name is then reported first.
+pub fn required<T>(args: &mut Arguments, name: &'static str, cli: &str) -> error::Result<T>
 where
     T: FromStr,
     T::Err: Display,
 {
     match optional(args, name)? {
         Some(value) => Ok(value),
-        None => Err(Error::usage(format!("option `{name}` is missing")).into()),
+        None => {
+            finish(args.clone(), cli)?;
+            Err(Error::usage(format!("option `{name}` is missing")).into())
+        }
     }
 }
 
--- /dev/null
+++ b/src/ops/run_runner.rs
@@ -0,0 +1,31 @@
+use std::path::Path;
+
+use error_stack::ResultExt;
+use kumquattiller_runner::Process;
+use kumquattiller_telemetry::logs;
+
+use crate::error;
+use crate::error::Code;
+use crate::error::Error;
+use crate::ops::signal;
+use crate::ops::traces;
+use crate::settings;
+
+/// Name of the program in traces.
+const PROGRAM: &str = "kumquattiller-runner";
+
+/// Runs the process beside a backend server until it is asked to stop and its work has ended.
+///
+/// # Errors
+///
+/// Fails when the settings are wrong or an address cannot be listened on.
+pub async fn run_runner(file: &Path) -> error::Result {
+    let settings: kumquattiller_runner::Settings = settings::read(file)?;
+    logs::init();
+    traces::export(settings.trace_endpoint.as_deref(), PROGRAM)?;
+    let shutdown = signal::shutdown()?;
+    let context = || Error::new(Code::Failed, "cannot listen on the addresses of the settings");
+    Process::new(settings).run(shutdown).await.change_context_lazy(context)?;
+    traces::flush().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/ops/traces.rs
@@ -0,0 +1,23 @@
+use error_stack::ResultExt;
+use kumquattiller_telemetry::traces;
+
+use crate::error;
+use crate::error::Error;
+
+/// Exports traces when the settings name an endpoint.
+///
+/// # Errors
+///
+/// Fails when the endpoint is not a URL.
+pub fn export(endpoint: Option<&str>, program: &'static str) -> error::Result {
+    let Some(endpoint) = endpoint else {
+        return Ok(());
+    };
+    let context = || Error::invalid(format!("trace_endpoint {endpoint:?} cannot be used"));
+    traces::export(endpoint, program).change_context_lazy(context)
+}
+
+/// Exports what is recorded before the process ends.
+pub async fn flush() {
+    let _ = tokio::task::spawn_blocking(traces::flush).await;
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -6,6 +6,7 @@
 mod check;
 mod document;
 mod problem;
+mod processes;
 mod reader;
 
 pub use check::Check;
--- a/tests/testsuite/command.rs
+++ b/tests/testsuite/command.rs
@@ -46,3 +46,22 @@
     assert!(text.contains(message), "{text}");
     assert!(!text.contains(".rs:"), "a stack trace: {text}");
 }
+
+#[test_case(&["serve"], "option `--settings` is missing" ; "no settings")]
+#[test_case(&["serve", "--setings", "x"], "did you mean `--settings`?" ; "mistyped settings")]
+#[test_case(&["serve", "--settings", "none.json"], "cannot read none.json" ; "no such file")]
+fn serve_refuses(args: &[&str], message: &str) {
+    let output = run(args);
+    let text = String::from_utf8(output.stderr).expect("text");
+    assert!(!output.status.success());
+    assert!(text.contains(message), "{text}");
+}
+
+#[test]
+fn the_runner_program_has_one_job() {
+    let program = env!("CARGO_BIN_EXE_kumquattiller-runner");
+    let output = Command::new(program).arg("--help").output().expect("program runs");
+    assert!(output.status.success());
+    let output = Command::new(program).output().expect("program runs");
+    assert_eq!(output.status.code(), Some(i32::from(Code::Usage.number())));
+}
