rollout: commit, holder and spread of configuration versions

Cause: nothing decided which operator wins, what a process may adopt, or how a version travels to 11,600 processes within 4 s at the store's 2,000 reads a second. Ruled out: every process watching the store (a waiting watch is a call: 11,600 of them); the parser of heartbeats as proof of freshness (a reply that lay in a socket buffer during a pause proves nothing, so a confirmation counts from the moment of its question); stale peers as witnesses (two processes that wake together vouched for each other; they count only when they are more than half of the peers).

--- a/crates/inventory/src/diff/delta.rs
+++ b/crates/inventory/src/diff/delta.rs
@@ -70,6 +70,27 @@
         }
     }
 
+    /// Returns one delta that does what `self` and then `next` do.
+    #[must_use]
+    pub fn then(&self, next: &Self) -> Self {
+        let mut joined = self.clone();
+        joined.version = next.version;
+        joined.digest = next.digest;
+        for (section, ids) in &next.removed {
+            for id in ids {
+                joined.put.entry(*section).or_default().remove(id);
+                joined.removed.entry(*section).or_default().insert(id.clone());
+            }
+        }
+        for (section, put) in &next.put {
+            for (id, value) in put {
+                joined.removed.entry(*section).or_default().remove(id);
+                joined.put.entry(*section).or_default().insert(id.clone(), value.clone());
+            }
+        }
+        joined
+    }
+
     /// Tells whether the delta carries a whole version.
     pub fn is_whole(&self) -> bool {
         self.base == Version::NONE
--- a/crates/inventory/tests/shard.rs
+++ b/crates/inventory/tests/shard.rs
@@ -162,6 +162,8 @@
         let mut store: BTreeMap<String, Object> = BTreeMap::new();
         let (mut manifest, mut items) = (Manifest::default(), Items::default());
         let mut next = Items::of(&fleet(runners, 20));
+        let first = next.clone();
+        let mut joined: Option<Delta> = None;
         for (n, step) in steps.iter().enumerate() {
             let (made, shards) = split(&next, (&manifest, &items), &format!("c{n}"));
             for (name, shard) in shards {
@@ -176,6 +178,11 @@
                 (made.version, &next),
             ));
             prop_assert_eq!(&delta.apply(&items).unwrap(), &next);
+            if n > 0 {
+                let all = joined.as_ref().map_or(delta.clone(), |joined| joined.then(&delta));
+                prop_assert_eq!(&all.apply(&first).unwrap(), &next);
+                joined = Some(all);
+            }
             prop_assert_eq!(Items::of(&next.configuration(made.version).unwrap()), next.clone());
             manifest = made;
             items = next;
--- /dev/null
+++ b/crates/rollout/tests/commit.rs
@@ -0,0 +1,211 @@
+//! Racing operators against a store that refuses calls and loses answers.
+
+use std::collections::BTreeMap;
+
+use kumquattiller_inventory::Version;
+use kumquattiller_inventory::section::Items;
+use kumquattiller_inventory::section::Section;
+use kumquattiller_inventory::shard::Author;
+use kumquattiller_inventory::shard::Manifest;
+use kumquattiller_inventory::shard::Object;
+use kumquattiller_inventory::shard::assemble;
+use kumquattiller_rollout::commit::Action;
+use kumquattiller_rollout::commit::Answer;
+use kumquattiller_rollout::commit::Commit;
+use kumquattiller_rollout::commit::Event;
+use kumquattiller_rollout::commit::Outcome;
+use kumquattiller_rollout::commit::Stored;
+use proptest::prelude::*;
+use serde_json::json;
+
+/// Seed of the cases in CI.
+const SEED: u64 = 0x5eed_0002;
+/// Steps after which the store has no more faults.
+const FAULTY_STEPS: usize = 150;
+
+fn config() -> ProptestConfig {
+    let cases = std::env::var("KUMQUATTILLER_CASES").ok().and_then(|n| n.parse().ok());
+    ProptestConfig {
+        cases: cases.unwrap_or(256),
+        rng_seed: proptest::test_runner::RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// What happens to a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    Refused,
+    LostBefore,
+    LostAfter,
+    /// The answer is lost and the write takes effect at the operator's next call.
+    LostThenLate,
+}
+
+#[derive(Default)]
+struct Store {
+    version: u64,
+    manifest: Option<Stored>,
+    shards: BTreeMap<String, Object>,
+    /// Every manifest that was accepted.
+    accepted: Vec<Manifest>,
+}
+
+impl Store {
+    fn update(&mut self, condition: Option<u64>, manifest: &Manifest) -> bool {
+        if self.manifest.as_ref().and_then(|stored| stored.condition) != condition {
+            return false;
+        }
+        self.version += 1;
+        let manifest = manifest.clone();
+        self.accepted.push(manifest.clone());
+        self.manifest = Some(Stored { condition: Some(self.version), manifest });
+        true
+    }
+
+    fn answer(&mut self, action: Action, fault: Fault, late: &mut Option<Action>) -> Event {
+        if let Some(Action::UpdateManifest { condition, manifest }) = late.take() {
+            self.update(condition, &manifest);
+        }
+        match action {
+            Action::Wait(_) => Event::Waited,
+            Action::UpdateManifest { condition, manifest } => match fault {
+                Fault::None if self.update(condition, &manifest) => Event::Updated(Answer::Written),
+                Fault::None => Event::Updated(Answer::Conflict),
+                Fault::Refused => Event::Updated(Answer::Refused),
+                Fault::LostBefore => Event::Updated(Answer::Lost),
+                Fault::LostAfter => {
+                    self.update(condition, &manifest);
+                    Event::Updated(Answer::Lost)
+                }
+                Fault::LostThenLate => {
+                    *late = Some(Action::UpdateManifest { condition, manifest });
+                    Event::Updated(Answer::Lost)
+                }
+            },
+            _ if fault != Fault::None => Event::Failed,
+            Action::ReadManifest => Event::Manifest(self.manifest.clone().unwrap_or_default()),
+            Action::ReadShards(names) => {
+                let found = names.iter().filter_map(|n| Some((n.clone(), self.shards.get(n)?)));
+                Event::Shards(found.map(|(name, shard)| (name, shard.clone())).collect())
+            }
+            Action::WriteShards(shards) => {
+                self.shards.extend(shards);
+                Event::ShardsWritten
+            }
+            Action::Done(_) => unreachable!("a commit that ended makes no calls"),
+        }
+    }
+}
+
+fn items(operator: usize) -> Items {
+    let mut items = Items::default();
+    let account = json!({"id": "a", "credential": format!("secret-{operator}")});
+    items.insert(Section::Accounts, "a".to_owned(), account);
+    items
+}
+
+fn run(store: &mut Store, operators: usize, steps: &[(usize, Fault)]) -> Vec<Outcome> {
+    let commit = |n: usize| Commit::new(format!("commit-{n}"), items(n));
+    let mut commits: Vec<Commit> = (0..operators).map(commit).collect();
+    let mut actions: Vec<Action> = commits.iter().map(Commit::start).collect();
+    let mut late: Vec<Option<Action>> = vec![None; operators];
+    let calm = (0..operators * 200).map(|n| (n, Fault::None));
+    for (turn, fault) in steps.iter().copied().chain(calm) {
+        let n = turn % operators;
+        if matches!(actions[n], Action::Done(_)) {
+            continue;
+        }
+        let event = store.answer(actions[n].clone(), fault, &mut late[n]);
+        actions[n] = commits[n].on(event);
+    }
+    let outcome = |action| match action {
+        Action::Done(outcome) => outcome,
+        action => panic!("commit did not end: {action:?}"),
+    };
+    actions.into_iter().map(outcome).collect()
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        4 => Just(Fault::None),
+        1 => Just(Fault::Refused),
+        1 => Just(Fault::LostBefore),
+        2 => Just(Fault::LostAfter),
+        1 => Just(Fault::LostThenLate),
+    ]
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn outcome_tells_what_the_store_took(
+        operators in 1..5_usize,
+        steps in prop::collection::vec((0..5_usize, fault()), 0..FAULTY_STEPS),
+    ) {
+        let mut store = Store::default();
+        let outcomes = run(&mut store, operators, &steps);
+        for (n, manifest) in store.accepted.iter().enumerate() {
+            prop_assert_eq!(manifest.version, Version::new(n as u64 + 1));
+            prop_assert!(assemble(manifest, &store.shards).is_ok());
+        }
+        for (n, outcome) in outcomes.iter().enumerate() {
+            let last = |manifest: &&Manifest| {
+                let author = manifest.history.last();
+                author.is_some_and(|Author { commit, .. }| *commit == format!("commit-{n}"))
+            };
+            let mine: Vec<&Manifest> = store.accepted.iter().filter(last).collect();
+            prop_assert!(mine.len() <= 1);
+            match outcome {
+                Outcome::Accepted(version) => {
+                    prop_assert_eq!(mine.len(), 1);
+                    prop_assert_eq!(mine[0].version, *version);
+                    prop_assert_eq!(mine[0].digest, items(n).digest());
+                }
+                Outcome::Unknown => {}
+                Outcome::Conflict { .. } | Outcome::Unavailable | Outcome::Unchanged(_) => {
+                    prop_assert!(mine.is_empty(), "{:?} but the store took it", outcome);
+                }
+                Outcome::Corrupt => prop_assert!(false, "corrupt"),
+            }
+        }
+    }
+}
+
+#[test]
+fn one_of_two_racing_operators_wins() {
+    let mut store = Store::default();
+    let both_in_turn: Vec<(usize, Fault)> = (0..20).map(|n| (n, Fault::None)).collect();
+    let outcomes = run(&mut store, 2, &both_in_turn);
+    assert_eq!(outcomes[0], Outcome::Accepted(Version::new(1)));
+    let Outcome::Conflict { version, difference } = &outcomes[1] else {
+        panic!("no conflict: {}", outcomes[1]);
+    };
+    assert_eq!(*version, Version::new(1));
+    assert_eq!(difference.to_string(), "+ accounts a\n1 added, 0 removed, 0 changed");
+    assert_eq!(store.accepted.len(), 1);
+}
+
+#[test]
+fn lost_answer_is_read_back() {
+    let mut store = Store::default();
+    let mut steps = vec![(0, Fault::None); 3];
+    steps.push((0, Fault::LostAfter));
+    let outcomes = run(&mut store, 1, &steps);
+    assert_eq!(outcomes, [Outcome::Accepted(Version::new(1))]);
+    assert_eq!(store.accepted.len(), 1);
+}
+
+#[test]
+fn own_commit_is_known_under_a_later_one() {
+    let mut store = Store::default();
+    let mut steps = vec![(0, Fault::None); 3];
+    steps.push((0, Fault::LostAfter));
+    steps.extend([(1, Fault::None); 5]);
+    let outcomes = run(&mut store, 2, &steps);
+    assert_eq!(outcomes[0], Outcome::Accepted(Version::new(1)));
+    assert_eq!(outcomes[1], Outcome::Accepted(Version::new(2)));
+}
--- /dev/null
+++ b/crates/rollout/tests/fleet/mod.rs
@@ -0,0 +1,310 @@
+//! A fleet of spread nodes over a queue of messages and a paused clock.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquattiller_base::time::Moment;
+use kumquattiller_inventory::Version;
+use kumquattiller_inventory::diff::Delta;
+use kumquattiller_inventory::section::Items;
+use kumquattiller_inventory::section::Section;
+use kumquattiller_rollout::holder::State;
+use kumquattiller_rollout::spread::Action;
+use kumquattiller_rollout::spread::Message;
+use kumquattiller_rollout::spread::Node;
+use kumquattiller_rollout::spread::is_watcher;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+
+/// Time between two runs of a process's timers.
+const TICK: Duration = Duration::from_millis(250);
+/// Peers of each other zone.
+const FAR_PEERS: usize = 2;
+/// Time after a commit during which no store outage begins: one round of watches.
+const WATCH_ROUND: Duration = Duration::from_millis(500);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Stops, keeps its state and its incoming messages, goes on.
+    Pause,
+    /// Loses all messages and the store.
+    Cut,
+    /// Is down for a while and starts with nothing.
+    Restart,
+    /// Nobody reaches the store.
+    StoreOutage,
+}
+
+enum Event {
+    Tick(usize),
+    Message(usize, usize, Message),
+    Commit,
+}
+
+#[derive(Default)]
+struct Process {
+    node: Node,
+    zone: usize,
+    watches: bool,
+    highest: Version,
+    faults: Vec<(Moment, Moment, Fault)>,
+}
+
+impl Process {
+    fn under(&self, at: Moment, fault: Fault) -> bool {
+        self.faults.iter().any(|(from, to, kind)| *kind == fault && *from <= at && at < *to)
+    }
+
+    fn wakes_at(&self, at: Moment) -> Option<Moment> {
+        let here = self.faults.iter().filter(|(from, to, _)| *from <= at && at < *to);
+        here.filter(|(_, _, kind)| *kind == Fault::Pause).map(|(_, to, _)| *to).max()
+    }
+
+    fn any_fault(&self, from: Moment, to: Moment) -> bool {
+        self.faults.iter().any(|(start, end, _)| *start <= to && from < *end)
+    }
+}
+
+pub struct Fleet {
+    now: Moment,
+    rng: ChaCha8Rng,
+    queue: BTreeMap<(Moment, u64), Event>,
+    sequence: u64,
+    processes: Vec<Process>,
+    outages: Vec<(Moment, Moment)>,
+    store: Vec<(Moment, Arc<Items>, Arc<Delta>)>,
+    reverts: usize,
+}
+
+impl Fleet {
+    /// Makes `zones` of `daemons` and `runners` each; daemons of a zone come first.
+    pub fn new(seed: u64, zones: usize, daemons: usize, runners: usize) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        let (queue, store, outages) = (BTreeMap::new(), Vec::new(), Vec::new());
+        let mut fleet = Self {
+            now: Moment::ZERO,
+            rng,
+            queue,
+            sequence: 0,
+            processes: Vec::new(),
+            outages,
+            store,
+            reverts: 0,
+        };
+        for zone in 0..zones {
+            for n in 0..daemons + runners {
+                let watches = n < daemons;
+                fleet.processes.push(Process { zone, watches, ..Process::default() });
+            }
+        }
+        for n in 0..fleet.processes.len() {
+            fleet.connect(n);
+            let first = Moment::ZERO + Duration::from_millis(fleet.rng.random_range(0..250));
+            fleet.push(first, Event::Tick(n));
+        }
+        fleet.accept();
+        fleet
+    }
+
+    fn connect(&mut self, n: usize) {
+        let own = self.processes[n].zone;
+        let mut far: BTreeMap<usize, usize> = BTreeMap::new();
+        let mut peers = Vec::new();
+        for (m, other) in self.processes.iter().enumerate() {
+            let near = other.zone == own && (other.watches || self.processes[n].watches);
+            let count = far.entry(other.zone).or_default();
+            *count += usize::from(other.watches);
+            let chosen = near || (other.zone != own && other.watches && *count <= FAR_PEERS);
+            if m != n && chosen {
+                peers.push(m.to_string());
+            }
+        }
+        self.processes[n].node.set_peers(peers);
+    }
+
+    pub fn commit_at(&mut self, at: Moment) {
+        self.push(at, Event::Commit);
+    }
+
+    pub fn fault_at(&mut self, at: Moment, span: Duration, process: usize, fault: Fault) {
+        if fault == Fault::StoreOutage {
+            self.outages.push((at, at + span));
+            return;
+        }
+        let count = self.processes.len();
+        self.processes[process % count].faults.push((at, at + span, fault));
+    }
+
+    fn push(&mut self, at: Moment, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), event);
+    }
+
+    fn accept(&mut self) {
+        let version = Version::new(self.store.len() as u64 + 1);
+        let (base, old) = self
+            .store
+            .last()
+            .map_or_else(Default::default, |(_, items, delta)| (delta.version, Arc::clone(items)));
+        let mut items = (*old).clone();
+        let id = format!("a{}", version.get() % 5);
+        let value = json!({"id": id, "credential": version.get()});
+        items.insert(Section::Accounts, id, value);
+        let delta = Delta::between((base, &old), (version, &items));
+        self.store.push((self.now, Arc::new(items), Arc::new(delta)));
+    }
+
+    fn store_is_up(&self) -> bool {
+        !self.outages.iter().any(|(from, to)| *from <= self.now && self.now < *to)
+    }
+
+    /// Tells whether watches still had time to be answered before the next outage.
+    fn takes_commits(&self) -> bool {
+        let soon = self.now + WATCH_ROUND;
+        !self.outages.iter().any(|(from, to)| *from <= soon && self.now < *to)
+    }
+
+    pub fn run_until(&mut self, end: Moment) {
+        while let Some(entry) = self.queue.first_entry() {
+            let at = entry.key().0;
+            if at > end {
+                break;
+            }
+            let event = entry.remove();
+            self.now = at;
+            self.step(event);
+        }
+        self.now = end;
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Commit if self.takes_commits() => self.accept(),
+            Event::Commit => {}
+            Event::Tick(n) => match self.processes[n].wakes_at(self.now) {
+                Some(later) => self.push(later, Event::Tick(n)),
+                None => {
+                    self.push(self.now + TICK, Event::Tick(n));
+                    self.tick(n);
+                }
+            },
+            Event::Message(from, to, message) => match self.processes[to].wakes_at(self.now) {
+                Some(later) => self.push(later, Event::Message(from, to, message)),
+                None if self.is_reachable(to) => {
+                    let node = &mut self.processes[to].node;
+                    let actions = node.on(&from.to_string(), message, self.now, &mut self.rng);
+                    self.act(to, actions);
+                }
+                None => {}
+            },
+        }
+    }
+
+    fn is_reachable(&self, n: usize) -> bool {
+        let process = &self.processes[n];
+        !process.under(self.now, Fault::Cut) && !process.under(self.now, Fault::Restart)
+    }
+
+    fn tick(&mut self, n: usize) {
+        if self.processes[n].under(self.now, Fault::Restart) {
+            self.processes[n].node = Node::default();
+            self.processes[n].highest = Version::NONE;
+            self.connect(n);
+            return;
+        }
+        let actions = self.processes[n].node.tick(self.now, &mut self.rng);
+        self.act(n, actions);
+        let zone = self.processes[n].zone;
+        let members =
+            self.processes.iter().enumerate().filter(|(_, p)| p.zone == zone && p.watches);
+        let names: Vec<String> = members.map(|(m, _)| m.to_string()).collect();
+        let watches = self.processes[n].watches
+            && is_watcher(&zone.to_string(), &n.to_string(), names.iter().map(String::as_str));
+        if watches && self.store_is_up() && self.is_reachable(n) {
+            self.watch(n);
+        }
+    }
+
+    fn watch(&mut self, n: usize) {
+        let delta = Arc::clone(&self.store.last().expect("a first version").2);
+        let node = &mut self.processes[n].node;
+        let actions = node.on_store(&delta, self.now, self.now, &mut self.rng);
+        self.act(n, actions);
+    }
+
+    fn act(&mut self, n: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => {
+                    let delay = Duration::from_micros(self.rng.random_range(300..5_000));
+                    let to = to.parse().expect("peers are numbers");
+                    if self.is_reachable(n) {
+                        self.push(self.now + delay, Event::Message(n, to, message));
+                    }
+                }
+                Action::Adopt => self.adopted(n),
+                Action::ReadStore => {
+                    let (_, items, delta) = self.store.last().expect("a first version");
+                    let whole = Arc::new(Delta::whole(delta.version, items));
+                    let node = &mut self.processes[n].node;
+                    let actions = node.on_store(&whole, self.now, self.now, &mut self.rng);
+                    self.act(n, actions);
+                }
+            }
+        }
+    }
+
+    fn adopted(&mut self, n: usize) {
+        let process = &mut self.processes[n];
+        let holder = process.node.holder();
+        let version = holder.version();
+        let (_, items, _) = &self.store[version.get() as usize - 1];
+        let same = holder.items().digest() == items.digest();
+        self.reverts += usize::from(version <= process.highest || !same);
+        process.highest = version;
+    }
+
+    /// Returns the version that was accepted by `at`.
+    fn accepted_by(&self, at: Moment) -> Version {
+        let taken = self.store.iter().filter(|(when, _, _)| *when <= at);
+        Version::new(taken.count() as u64)
+    }
+
+    /// Returns the processes without fault of late that lack a version accepted `span` ago.
+    pub fn late(&self, span: Duration) -> Vec<(usize, Version)> {
+        let from = self.now - span;
+        let due = self.accepted_by(from);
+        let healthy = |p: &&(usize, &Process)| !p.1.any_fault(from, self.now);
+        let all: Vec<(usize, &Process)> = self.processes.iter().enumerate().collect();
+        let late = all.iter().filter(healthy).filter(|(_, p)| p.node.holder().version() < due);
+        late.filter(|_| from > Moment::ZERO).map(|(n, p)| (*n, p.node.holder().version())).collect()
+    }
+
+    /// Returns the processes that are ready with less than what was accepted `span` ago.
+    pub fn ready_with_old(&self, span: Duration) -> Vec<(usize, Version)> {
+        let due = self.accepted_by(self.now - span);
+        let all = self.processes.iter().enumerate();
+        let ready = all.filter(|(_, p)| p.node.state(self.now).is_ready());
+        let old = ready.filter(|(_, p)| p.node.holder().version() < due);
+        old.map(|(n, p)| (n, p.node.holder().version())).collect()
+    }
+
+    pub const fn reverts(&self) -> usize {
+        self.reverts
+    }
+
+    pub fn state(&self, n: usize) -> State {
+        self.processes[n].node.state(self.now)
+    }
+
+    pub fn version(&self, n: usize) -> Version {
+        self.processes[n].node.holder().version()
+    }
+
+    pub fn accepted(&self) -> Version {
+        self.accepted_by(self.now)
+    }
+}
