--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -163,6 +163,39 @@
         }
     }
 
+    /// Returns what an answer of this kind may say about whether the request ran.
+    pub const fn ran(self) -> &'static [Ran] {
+        match self {
+            Self::MalformedBody
+            | Self::MissingModel
+            | Self::UnknownModel
+            | Self::UnknownService
+            | Self::UnknownAccount
+            | Self::BodyTooLarge
+            | Self::PromptTooLarge
+            | Self::MissingKey
+            | Self::InvalidKey
+            | Self::KeyReused
+            | Self::InvalidHeader
+            | Self::RateLimited
+            | Self::Stopping
+            | Self::NoConfiguration
+            | Self::StoreUnavailable
+            | Self::NotFound => &[Ran::No],
+            Self::DeadlineExpired
+            | Self::Overloaded
+            | Self::NoRunner
+            | Self::Leaving
+            | Self::MemoryFull
+            | Self::InProgress => &[Ran::No, Ran::Unknown],
+            Self::ResumeGone => &[Ran::No, Ran::Yes],
+            Self::DeadlineExceeded | Self::RunnerLost | Self::BackendFailed | Self::Cancelled => {
+                &[Ran::Yes, Ran::Unknown]
+            }
+            Self::CrashesBackends | Self::Internal => &[Ran::No, Ran::Yes, Ran::Unknown],
+        }
+    }
+
     /// Returns every kind in the order of the list.
     pub fn all() -> impl Iterator<Item = Self> {
         Self::iter()
--- a/crates/entry/src/http/answer/whole.rs
+++ b/crates/entry/src/http/answer/whole.rs
@@ -27,7 +27,7 @@
             Output::End(end) => return finish(id, shape, model, prompt, &data, &end),
         }
     }
-    Error::not_admitted(kumquattiller_base::error::Kind::Internal).into_response()
+    Error::outcome_lost(id).into_response()
 }
 
 /// Builds the answer of an ended request.
@@ -43,7 +43,7 @@
         return error.into_response();
     }
     let Outcome::Done { tokens } = end.outcome else {
-        return Error::not_admitted(kumquattiller_base::error::Kind::Internal).into_response();
+        return Error::outcome_lost(id).into_response();
     };
     let usage = json!({
         "prompt_tokens": prompt.get(),
--- a/crates/entry/src/http/error.rs
+++ b/crates/entry/src/http/error.rs
@@ -47,6 +47,13 @@
         Self { kind, ran: error::Ran::No, retry_after: None, request: None, detail: None }
     }
 
+    /// Makes the answer to an admitted request whose outcome was lost in this process.
+    pub const fn outcome_lost(request: request::Id) -> Self {
+        let kind = error::Kind::Internal;
+        let ran = error::Ran::Unknown;
+        Self { kind, ran, retry_after: None, request: Some(request), detail: None }
+    }
+
     /// Adds what the table's message does not say.
     pub fn with_detail(mut self, detail: impl Into<String>) -> Self {
         self.detail = Some(detail.into());
--- a/crates/entry/src/http/plain.rs
+++ b/crates/entry/src/http/plain.rs
@@ -109,5 +109,5 @@
             .header(headers::REQUEST_ID, id.to_string())
             .body(data);
     }
-    Error::not_admitted(error::Kind::Internal).into_response()
+    Error::outcome_lost(id).into_response()
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the programs and of the operations behind them.
 
+mod api_page;
 mod command;
 mod settings;
