--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,7 @@
 //! Tests of the real programs against stand-ins, a module for each topic.
 
+mod api_page;
+mod command;
 mod path;
+mod settings;
 mod support;
