standins: model engine, plain service and platform

Tests and the thin path need counterparts that fail the way real ones do. Each server runs on a tokio runtime of its own: dropping that runtime cuts the listener, connections and state at once; aborting the server task alone was ruled out, because the connection tasks of the HTTP library live on. A lost answer ends the connection's task after the write.

--- /dev/null
+++ b/crates/standins/src/platform/vms.rs
@@ -0,0 +1,47 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kumquattiller_dialect::platform::Phase;
+use kumquattiller_dialect::platform::Vm;
+use kumquattiller_dialect::platform::Vms;
+use tokio::time::Instant;
+
+/// The list of VMs, which shows changes late.
+#[derive(Debug)]
+pub(super) struct Directory {
+    lag: Duration,
+    shown: BTreeMap<String, Vm>,
+    pending: Vec<(Instant, String, Option<Vm>)>,
+}
+
+impl Directory {
+    pub(super) const fn new(lag: Duration) -> Self {
+        Self { lag, shown: BTreeMap::new(), pending: Vec::new() }
+    }
+
+    /// Sets a VM, or removes it with `None`.
+    pub(super) fn set(&mut self, name: &str, vm: Option<Vm>) {
+        self.pending.push((Instant::now() + self.lag, name.to_owned(), vm));
+    }
+
+    /// Marks a VM as leaving.
+    pub(super) fn leave(&mut self, name: &str) {
+        let pending = self.pending.iter().rev().find(|(_, n, _)| n == name);
+        let vm = pending.map_or_else(|| self.shown.get(name).cloned(), |(_, _, vm)| vm.clone());
+        if let Some(vm) = vm {
+            self.set(name, Some(Vm { phase: Phase::Leaving, ..vm }));
+        }
+    }
+
+    /// Returns the list as it shows now.
+    pub(super) fn list(&mut self) -> Vms {
+        let now = Instant::now();
+        for (_, name, vm) in self.pending.extract_if(.., |(at, _, _)| *at <= now) {
+            match vm {
+                Some(vm) => self.shown.insert(name, vm),
+                None => self.shown.remove(&name),
+            };
+        }
+        Vms { vms: self.shown.values().cloned().collect() }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/service/routes.rs
@@ -0,0 +1,120 @@
+//! The calls of a plain service.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::Weak;
+use std::time::Duration;
+
+use poem::EndpointExt;
+use poem::IntoResponse;
+use poem::Request;
+use poem::Response;
+use poem::Route;
+use poem::endpoint::BoxEndpoint;
+use poem::handler;
+use poem::http::StatusCode;
+use poem::web::Data;
+use poem::web::Json;
+use poem::web::Query;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::host::Host;
+use crate::service::Posting;
+use crate::service::ledger::Ledger;
+
+/// What the routes share.
+#[derive(Clone)]
+pub(super) struct Shared {
+    ledger: Arc<Mutex<Ledger>>,
+    marker: Option<String>,
+    host: Weak<Host>,
+}
+
+impl Shared {
+    pub(super) fn new(
+        ledger: Arc<Mutex<Ledger>>,
+        marker: Option<String>,
+        host: &Arc<Host>,
+    ) -> Self {
+        Self { ledger, marker, host: Arc::downgrade(host) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().expect("no thread panicked")
+    }
+
+    fn crash(&self) {
+        let host = self.host.clone();
+        std::thread::spawn(move || host.upgrade().map(|host| host.kill()));
+    }
+}
+
+/// Builds the endpoint.
+pub(super) fn endpoint(shared: Shared) -> BoxEndpoint<'static> {
+    Route::new()
+        .at("/healthz", poem::get(health))
+        .at("/admin/executions", poem::get(executions))
+        .at("/admin/delay", poem::post(set_delay))
+        .at("/admin/kill", poem::post(kill))
+        .at("/*path", poem::get(look_up).post(execute).put(execute).delete(execute))
+        .data(shared)
+        .boxed()
+}
+
+#[handler]
+const fn health() -> StatusCode {
+    StatusCode::OK
+}
+
+#[handler]
+async fn look_up(shared: Data<&Shared>, request: &Request) -> Response {
+    let delay = shared.lock().delay;
+    tokio::time::sleep(delay).await;
+    shared.lock().lookups += 1;
+    Json(json!({ "path": request.uri().path() })).into_response()
+}
+
+#[handler]
+async fn execute(shared: Data<&Shared>, request: &Request, body: Vec<u8>) -> Response {
+    let body = String::from_utf8_lossy(&body).into_owned();
+    let crashes = shared.marker.as_deref().is_some_and(|marker| body.contains(marker));
+    let posting = Posting {
+        method: request.method().to_string(),
+        path: request.uri().path().to_owned(),
+        key: request.header("Idempotency-Key").unwrap_or_default().to_owned(),
+        body,
+    };
+    let execution = shared.lock().execute(posting);
+    if crashes {
+        shared.crash();
+        std::future::pending::<()>().await;
+    }
+    let delay = shared.lock().delay;
+    tokio::time::sleep(delay).await;
+    Json(json!({ "path": request.uri().path(), "execution": execution })).into_response()
+}
+
+#[handler]
+fn executions(shared: Data<&Shared>) -> Response {
+    let counts: Vec<_> = shared.lock().executions.clone().into_iter().collect();
+    Json(counts).into_response()
+}
+
+#[derive(Deserialize)]
+struct Delay {
+    ms: u64,
+}
+
+#[handler]
+fn set_delay(shared: Data<&Shared>, delay: Query<Delay>) -> StatusCode {
+    shared.lock().delay = Duration::from_millis(delay.ms);
+    StatusCode::NO_CONTENT
+}
+
+#[handler]
+fn kill(shared: Data<&Shared>) -> StatusCode {
+    shared.crash();
+    StatusCode::NO_CONTENT
+}
