--- a/crates/support/src/fleet/entry.rs
+++ b/crates/support/src/fleet/entry.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 
 use crate::fleet::Binaries;
@@ -27,7 +28,7 @@
 }
 
 /// Starts an entry daemon with a settings file.
-pub(super) fn start(binaries: &Binaries, settings: &PathBuf) -> Program {
+pub(super) fn start(binaries: &Binaries, settings: &Path) -> Program {
     let log = settings.with_extension("log");
     let file = settings.to_string_lossy();
     Program::start(&binaries.entry, &["serve", "--settings", &file], &log)
--- a/crates/support/src/fleet/runner.rs
+++ b/crates/support/src/fleet/runner.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 
 use kumquattiller_standins::engine;
@@ -40,7 +41,7 @@
 }
 
 /// Starts a runner process with a settings file.
-pub(super) fn start(binaries: &Binaries, settings: &PathBuf) -> Program {
+pub(super) fn start(binaries: &Binaries, settings: &Path) -> Program {
     let log = settings.with_extension("log");
     let file = settings.to_string_lossy();
     Program::start(&binaries.runner, &["--settings", &file], &log)
