--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`snapshot::Snapshot`] of the accepted configuration, kept by [`source`]; [`link`] answers
 //! other daemons and operators.
 
+pub mod claims;
 pub mod daemon;
 pub mod drive;
 pub mod http;
