xtask: load, overhead, slopes and demo over fleets of processes

Cause: the demo, the measured overhead and the capacity page all need the programs as processes with stand-ins beside them. One starter makes settings, logs and ports, and ends what it started by id. The bands of prompt lengths stood twice; telemetry takes those of routing. Ruled out: measuring memory of a configuration in the measuring process, as what was freed before stays resident; each size has a process of its own.

--- a/crates/telemetry/src/metrics/family.rs
+++ b/crates/telemetry/src/metrics/family.rs
@@ -4,6 +4,7 @@
 use kumquattiller_base::error;
 use kumquattiller_base::outcome::Outcome;
 use kumquattiller_base::size::Tokens;
+use kumquattiller_routing::band::Band;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -13,7 +14,6 @@
 use prometheus_client::registry::Registry;
 use prometheus_client::registry::Unit;
 
-use crate::metrics::Band;
 use crate::metrics::LinkKind;
 use crate::metrics::OutcomeKind;
 
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -5,10 +5,8 @@
 use kumquattiller_base::error::Kind;
 use kumquattiller_base::outcome::Outcome;
 use kumquattiller_base::size::Tokens;
-use kumquattiller_telemetry::metrics::Band;
 use kumquattiller_telemetry::metrics::LinkKind;
 use kumquattiller_telemetry::metrics::Metrics;
-use test_case::test_case;
 
 #[test]
 fn every_family_is_encoded() {
@@ -40,12 +38,3 @@
         assert!(text.contains(line), "{line} not in\n{text}");
     }
 }
-
-#[test_case(1, Band::UpTo8k ; "one token")]
-#[test_case(8_000, Band::UpTo8k ; "most of the short")]
-#[test_case(8_001, Band::From8kTo100k ; "least of the medium")]
-#[test_case(100_000, Band::From8kTo100k ; "most of the medium")]
-#[test_case(1_000_000, Band::Over100k ; "a million")]
-fn prompts_have_bands(tokens: u64, band: Band) {
-    assert_eq!(Band::of(Tokens::new(tokens)), band);
-}
--- /dev/null
+++ b/xtask/src/caller/prompt.rs
@@ -0,0 +1,13 @@
+/// Bytes of prompt text that the system counts as one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Returns a prompt of `tokens` tokens; prompts of different `seed`s have no prefix in common.
+pub fn prompt(tokens: u64, seed: u64) -> String {
+    let bytes = tokens as usize * BYTES_PER_TOKEN;
+    let mut text = format!("{seed:016x} ");
+    while text.len() < bytes {
+        text.push_str("gas odour reported near the market, crew asked ");
+    }
+    text.truncate(bytes.max(1));
+    text
+}
--- /dev/null
+++ b/xtask/src/load/options.rs
@@ -0,0 +1,83 @@
+use std::time::Duration;
+
+use pico_args::Arguments;
+
+use crate::load::Mix;
+
+/// Text of `cargo xtask load --help`.
+const HELP: &str = "\
+usage: cargo xtask load --url URL [--url URL]... --credential TEXT --model NAME [options]
+
+  --url URL          base URL of an entry daemon; requests go to each in turn
+  --credential TEXT  credential of the client account
+  --model NAME       model to ask for
+  --rate N           requests a second, 10 unless set
+  --duration S       time to send for, in seconds, 10 unless set
+  --mix NAME         bayanihan, addis-ketema or short; bayanihan unless set
+  --deadline S       deadline of each request, in seconds, 120 unless set
+  --seed N           seed of sizes and times, 1 unless set
+
+Prints one JSON object a line, for each band of prompt lengths. Times are in seconds.
+";
+
+/// What to send, and where to.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Base URLs of entry daemons.
+    pub urls: Vec<String>,
+    /// Credential of the client account.
+    pub credential: String,
+    /// Model to ask for.
+    pub model: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// Time to send for.
+    pub duration: Duration,
+    /// The mix of requests.
+    pub mix: Mix,
+    /// Deadline of each request.
+    pub deadline: Duration,
+    /// Seed of sizes and times.
+    pub seed: u64,
+}
+
+impl Options {
+    /// Reads the options.
+    ///
+    /// # Errors
+    ///
+    /// Fails on wrong options, with the help text when it is asked for.
+    pub fn read(mut args: Arguments) -> Result<Self, Box<dyn std::error::Error>> {
+        if args.contains(["-h", "--help"]) {
+            return Err(HELP.into());
+        }
+        let options = Self {
+            urls: args.values_from_str("--url")?,
+            credential: args.value_from_str("--credential")?,
+            model: args.value_from_str("--model")?,
+            rate: args.opt_value_from_str("--rate")?.unwrap_or(10.0),
+            duration: seconds(&mut args, "--duration", 10.0)?,
+            mix: args.opt_value_from_str("--mix")?.unwrap_or(Mix::Bayanihan),
+            deadline: seconds(&mut args, "--deadline", 120.0)?,
+            seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+        };
+        let left = args.finish();
+        if !left.is_empty() {
+            return Err(format!("unexpected arguments: {left:?}\n\n{HELP}").into());
+        }
+        if options.urls.is_empty() || options.rate.is_nan() || options.rate <= 0.0 {
+            return Err("--url is needed, and --rate is above 0".into());
+        }
+        Ok(options)
+    }
+}
+
+/// Reads an option in seconds.
+fn seconds(
+    args: &mut Arguments,
+    name: &'static str,
+    otherwise: f64,
+) -> Result<Duration, Box<dyn std::error::Error>> {
+    let value: f64 = args.opt_value_from_str(name)?.unwrap_or(otherwise);
+    Ok(Duration::try_from_secs_f64(value)?)
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,26 +7,43 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+mod caller;
+mod demo;
+mod fleet;
 mod generate;
 mod lint;
+mod load;
+mod overhead;
+mod slopes;
 mod test;
 
 /// What a chore returns.
-type Outcome = Result<(), Box<dyn std::error::Error>>;
+type Outcome = Result<(), Failure>;
+
+/// Why a chore failed.
+type Failure = Box<dyn std::error::Error>;
 
 const USAGE: &str = "\
 usage: cargo xtask <chore>
 
+  demo                 start everything, send requests, stop everything
   generate [--check]   write the link types, or check that the committed ones are fresh
   lint                 check imports, file sizes and places of tests
+  load                 send a mix of requests to running entry daemons
+  overhead             measure the path against calling a stand-in engine directly
+  slopes [--check]     measure what processes cost at rising sizes, or check the page's tables
   test                 run all tests but those in KNOWN-RED.txt, which are printed
 ";
 
 fn main() -> ExitCode {
     let mut args = pico_args::Arguments::from_env();
     let outcome = match args.subcommand().ok().flatten().as_deref() {
+        Some("demo") => demo::exec(args),
         Some("generate") => generate::exec(args),
         Some("lint") => lint::exec(args),
+        Some("load") => load::exec(args),
+        Some("overhead") => overhead::exec(args),
+        Some("slopes") => slopes::exec(args),
         Some("test") => test::exec(args),
         _ => Err(USAGE.into()),
     };
