--- a/crates/entry/src/http/models.rs
+++ b/crates/entry/src/http/models.rs
@@ -4,6 +4,7 @@
 use kumquattiller_base::error;
 use kumquattiller_base::fingerprint::Fingerprint;
 use kumquattiller_base::service;
+use kumquattiller_base::size::Tokens;
 use poem::Body;
 use poem::Response;
 use poem::handler;
@@ -62,6 +63,7 @@
     let snapshot = daemon.snapshot();
     let model: service::Model = parts.model.parse().map_err(|_| error::Kind::UnknownModel)?;
     let service = snapshot.service_of(&model).ok_or(error::Kind::UnknownModel)?.clone();
+    check_size(&parts, snapshot.largest_set(&service))?;
     let idempotent = snapshot.is_idempotent(&service, "POST", ENGINE_PATH);
     if !idempotent && key.is_none() {
         return Err(error::Kind::MissingKey.into());
@@ -93,3 +95,13 @@
     }
     Ok(answer::whole(id, shape, &parts.model, prompt, output).await)
 }
+
+/// Refuses a request that no reachable set of engines holds, naming the limit.
+fn check_size(parts: &Parts, largest: Tokens) -> Result<(), Error> {
+    let wanted = parts.tokens.saturating_add(parts.max_tokens);
+    if largest == Tokens::ZERO || wanted <= largest {
+        return Ok(());
+    }
+    let detail = format!("prompt and answer have {wanted}, at most {largest} fit");
+    Err(Error::not_admitted(error::Kind::PromptTooLarge).with_detail(detail))
+}
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use kumquattiller_base::account;
+use kumquattiller_base::place;
 use kumquattiller_base::service;
+use kumquattiller_base::size::Tokens;
 use kumquattiller_inventory::Configuration;
 use kumquattiller_inventory::register;
 
@@ -17,6 +19,7 @@
     configuration: Configuration,
     accounts: HashMap<String, account::Id>,
     models: HashMap<service::Model, service::Name>,
+    largest: HashMap<service::Name, Tokens>,
 }
 
 impl Snapshot {
@@ -30,7 +33,9 @@
             .iter()
             .flat_map(|s| s.models.iter().map(|m| (m.clone(), s.name.clone())))
             .collect();
-        Self { accounts, models, configuration }
+        let largest =
+            register.services.iter().map(|s| (s.name.clone(), largest_set(register, s))).collect();
+        Self { accounts, models, largest, configuration }
     }
 
     /// Returns the configuration.
@@ -53,6 +58,11 @@
         self.configuration.register.services.iter().find(|s| &s.name == name)
     }
 
+    /// Returns the memory of the largest set of engines of a service in one availability zone.
+    pub fn largest_set(&self, name: &service::Name) -> Tokens {
+        self.largest.get(name).copied().unwrap_or_default()
+    }
+
     /// Returns the deadline of a service's requests.
     pub fn deadline_of(&self, name: &service::Name) -> Duration {
         let rule = self.configuration.rules.services.iter().find(|rule| &rule.service == name);
@@ -75,3 +85,14 @@
         }
     }
 }
+
+/// Adds up the memory of a service's engines in the availability zone that has most of it.
+fn largest_set(register: &register::Register, service: &register::Service) -> Tokens {
+    let memory = service.engine_memory.unwrap_or_default();
+    let mut zones: HashMap<&place::Zone, Tokens> = HashMap::new();
+    for runner in register.runners.iter().filter(|runner| runner.service == service.name) {
+        let sum = zones.entry(&runner.zone).or_default();
+        *sum = sum.saturating_add(memory);
+    }
+    zones.into_values().max().unwrap_or_default()
+}
--- a/xtask/src/slopes/mod.rs
+++ b/xtask/src/slopes/mod.rs
@@ -1,6 +1,7 @@
 //! Measures what processes and data structures cost at rising sizes.
 
 mod fit;
+mod group;
 mod measure;
 mod page;
 pub mod rig;
@@ -9,10 +10,13 @@
 mod target;
 mod usage;
 
+use strum::IntoEnumIterator;
+
 use crate::Failure;
 use crate::Outcome;
 use crate::fleet::build;
 use crate::root;
+use crate::slopes::group::Group;
 use crate::slopes::series::Results;
 use crate::slopes::series::Series;
 
@@ -23,7 +27,7 @@
 /// The page whose tables come from it, from the root of the repository.
 const PAGE: &str = "docs/CAPACITY.md";
 
-/// Runs the chore: without options measures, writes the result and the page's tables.
+/// Runs the chore: measures every group or one, writes the result and the page's tables.
 ///
 /// # Errors
 ///
@@ -34,37 +38,50 @@
     }
     let check = args.contains("--check");
     let page_alone = args.contains("--page");
+    let only: Option<Group> = args.opt_value_from_str("--only")?;
     if !args.finish().is_empty() {
-        return Err("usage: cargo xtask slopes [--check | --page]".into());
+        return Err("usage: cargo xtask slopes [--check | --page | --only GROUP]".into());
     }
     if !check && !page_alone {
-        let results = run()?;
-        std::fs::write(root().join(RESULTS), serde_json::to_string_pretty(&results)? + "\n")?;
+        measure(only)?;
     }
-    let results: Results = serde_json::from_str(&std::fs::read_to_string(root().join(RESULTS))?)?;
+    let results = read()?;
     let path = root().join(PAGE);
     let page = std::fs::read_to_string(&path)?;
     let fresh = page::with_tables(&page, &results)?;
     if check && fresh != page {
         return Err(format!("{PAGE} does not agree with {RESULTS}").into());
     }
-    std::fs::write(path, fresh)?;
+    if !check {
+        std::fs::write(path, fresh)?;
+    }
     Ok(())
 }
 
-/// Runs every measurement.
-fn run() -> Result<Results, Failure> {
+/// Reads the committed result.
+fn read() -> Result<Results, Failure> {
+    Ok(serde_json::from_str(&std::fs::read_to_string(root().join(RESULTS))?)?)
+}
+
+/// Measures every group, or one whose series then take the place of those before.
+fn measure(only: Option<Group>) -> Outcome {
     let programs = build(true)?;
-    let mut series: Vec<Series> = measure::configuration()?;
-    series.extend(measure::held()?);
     let runtime = tokio::runtime::Runtime::new()?;
-    runtime.block_on(async {
-        series.extend(measure::links(&programs).await?);
-        series.extend(measure::accounts(&programs).await?);
-        series.extend(measure::daemons(&programs).await?);
-        series.extend(measure::rate(&programs).await?);
-        Ok::<(), Failure>(())
-    })?;
+    let groups = Group::iter().filter(|group| only.is_none_or(|only| only == *group));
+    let mut series: Vec<Series> = Vec::new();
+    for group in groups {
+        eprintln!("measuring {group}");
+        series.extend(runtime.block_on(group.measure(&programs))?);
+    }
+    if only.is_some() {
+        let old = read().map(|results| results.series).unwrap_or_default();
+        let stays = |s: &Series| series.iter().all(|new| new.name != s.name);
+        let kept: Vec<Series> = old.into_iter().filter(stays).collect();
+        series.splice(0..0, kept);
+    }
+    series.sort_by(|a, b| a.name.cmp(&b.name));
     let cores = std::thread::available_parallelism()?.get();
-    Ok(Results { command: COMMAND.to_owned(), cores, series })
+    let results = Results { command: COMMAND.to_owned(), cores, series };
+    std::fs::write(root().join(RESULTS), serde_json::to_string_pretty(&results)? + "\n")?;
+    Ok(())
 }
