--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -17,6 +17,8 @@
 use kumquattiller_link::Identity;
 use kumquattiller_link::incarnation;
 use kumquattiller_recovery::retry::Budget;
+use kumquattiller_telemetry::Recorder;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -25,6 +27,7 @@
 use crate::claims;
 use crate::claims::Claims;
 use crate::http;
+use crate::link;
 use crate::runners::Pool;
 use crate::snapshot::Snapshot;
 use crate::source;
@@ -48,6 +51,7 @@
     platform: platform::Client,
     snapshots: watch::Sender<Arc<Snapshot>>,
     runners: Pool,
+    recorder: Recorder,
     claims: Claims,
     suspects: Suspects,
     retries: Mutex<Budget>,
@@ -80,6 +84,7 @@
             claims_inbox: Mutex::new(Some(claims_inbox)),
             snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
             runners: Pool::default(),
+            recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
@@ -95,10 +100,12 @@
     /// Fails when an address cannot be listened on.
     pub async fn run(self, shutdown: impl Future<Output = ()>) -> std::io::Result<()> {
         let server = http::start(self.clone()).await?;
+        let links = TcpListener::bind(self.settings().link_address).await?;
         log::info!(
             daemon:% = self.settings().id, address:% = self.settings().http_address;
             "entry daemon serves"
         );
+        tokio::spawn(link::run(self.clone(), links));
         tokio::spawn(source::run(self.clone()));
         self.serve_claims();
         tokio::spawn(suspects::run(self.clone()));
@@ -199,6 +206,16 @@
         &self.inner.runners
     }
 
+    /// Returns the metrics and the decisions.
+    pub fn recorder(&self) -> &Recorder {
+        &self.inner.recorder
+    }
+
+    /// Notes a decision about a request.
+    pub fn note(&self, request: request::Id, decision: &str) {
+        self.recorder().note(self.now(), request, decision);
+    }
+
     /// Tells whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
         !self.inner.leaving.load(Ordering::SeqCst)
--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -5,6 +5,7 @@
 use kumquattiller_base::error;
 use kumquattiller_base::outcome::Outcome;
 use kumquattiller_base::runner;
+use kumquattiller_base::time::Moment;
 use kumquattiller_recovery::retry::Decision;
 use kumquattiller_recovery::retry::Plan;
 use kumquattiller_recovery::stream::Replay;
@@ -33,6 +34,7 @@
     pub(super) output: mpsc::Sender<Output>,
     pub(super) permit: Permit,
     pub(super) replay: Replay,
+    pub(super) last_piece: Option<Moment>,
     tried: Vec<runner::Id>,
 }
 
@@ -41,15 +43,27 @@
     pub fn new(daemon: Daemon, request: Admitted, output: mpsc::Sender<Output>) -> Self {
         let permit = Permit::default();
         let replay = Replay::default();
-        Self { daemon, request, output, permit, replay, tried: Vec::new() }
+        Self { daemon, request, output, permit, replay, last_piece: None, tried: Vec::new() }
     }
 
     /// Runs attempts until the request has its outcome, and hands it over.
     pub async fn run(mut self) {
+        let span = self.request.trace.span("request", self.request.id);
+        self.request.trace = self.request.trace.within(&span);
+        self.daemon.recorder().metrics().admitted();
+        self.note(&format!(
+            "admitted for {} with {}, {} ms left",
+            self.request.service,
+            self.request.prompt,
+            self.request.deadline.left(self.daemon.now()).as_millis()
+        ));
         let end = match self.claim().await {
             None => self.attempts().await,
             Some(end) => end,
         };
+        self.note(&format!("ended: {:?}", end.outcome));
+        self.daemon.recorder().metrics().ended();
+        self.daemon.recorder().metrics().outcome(&end.outcome);
         log::info!(
             request:% = self.request.id, account:% = self.request.account,
             outcome:? = end.outcome;
@@ -69,7 +83,10 @@
             return Some(not_run(unsent, error::Kind::MissingKey, None));
         };
         let claims = self.daemon.claims();
+        let asked = self.daemon.now();
         let answer = claims.claim(key, self.request.fingerprint, self.request.deadline).await;
+        let waited = self.daemon.now().since(asked).as_millis();
+        self.note(&format!("claim: {answer}, after {waited} ms"));
         match Repeat::of(answer, unsent) {
             Repeat::No(claim) => {
                 self.permit = Permit::of(claim);
@@ -100,6 +117,9 @@
                 return self.give_up(attempt, error::Kind::CrashesBackends, Some(left));
             }
             let suspect = standing == Standing::Suspect;
+            if suspect {
+                self.note("it ran when an engine died; it runs apart from other such requests");
+            }
             let Some(call) = self.daemon.runners().choose(&self.request, &self.tried) else {
                 return self.give_up(attempt, reason.0, reason.1);
             };
@@ -110,6 +130,8 @@
             let decision = match self.attempt(attempt, call, suspect).await {
                 Ended::With(end) => return self.settle(end, suspect),
                 Ended::Refused(sent, kind, retry_after) => {
+                    self.note(&format!("the runner refused: {kind}"));
+                    self.daemon.recorder().metrics().retry();
                     reason = (kind, retry_after);
                     let refused = sent.refuse();
                     self.permit.refused(&refused);
@@ -124,6 +146,8 @@
                     return Outcome::Unknown(kind).into();
                 }
                 Ended::Lost(sent, kind) => {
+                    self.note(&format!("the attempt was lost: {kind}"));
+                    self.daemon.recorder().metrics().retry();
                     reason = (kind, None);
                     attempt = sent.again();
                     let now = self.daemon.now();
@@ -132,13 +156,18 @@
                 }
             };
             let Decision::Retry { after } = decision else {
-                log::info!(request:% = self.request.id, decision:%; "no further attempt");
+                self.note(&format!("no further attempt: {decision}"));
                 return self.give_up(attempt, reason.0, reason.1);
             };
             sleep(after).await;
         }
     }
 
+    /// Notes a decision about the request.
+    pub(super) fn note(&self, decision: &str) {
+        self.daemon.note(self.request.id, decision);
+    }
+
     /// Waits until an engine may be without another suspect, and considers all of them again.
     async fn wait_for_engine(&mut self) {
         let pause = Duration::from_millis(rand::random_range(0..=MAX_SUSPECT_PAUSE_MS));
--- a/crates/entry/src/drive/run.rs
+++ b/crates/entry/src/drive/run.rs
@@ -61,9 +61,12 @@
         let number = WireAttempt { request: attempt.request(), number: attempt.number() };
         let incarnation = call.incarnation();
         let origin = Origin { request: number.request, attempt: number.number, incarnation };
+        let span = self.request.trace.span("attempt", self.request.id);
+        let trace = self.request.trace.within(&span);
+        self.note(&format!("attempt {} on runner {}", number.number, call.runner()));
         let sent = attempt.send();
         self.replay.restart();
-        if call.start(&self.request, number, suspect, self.daemon.now()).await.is_err() {
+        if call.start(&self.request, number, suspect, self.daemon.now(), trace).await.is_err() {
             return Ended::Lost(sent, error::Kind::RunnerLost);
         }
         let mut receiver = Receiver::new(origin, 0);
@@ -90,6 +93,7 @@
                 Step::Next => {}
                 Step::Resume => {
                     resumed = true;
+                    self.note(&format!("resumed at {}", receiver.next()));
                     let resume = self.resume_frame(&receiver, number);
                     if call.resume(resume, number).await.is_err() {
                         call.abandon();
@@ -131,6 +135,7 @@
                     }
                 };
                 if !fresh.is_empty() {
+                    self.measure();
                     self.permit.keep(&fresh);
                     let runner = call.runner().clone();
                     let offset = receiver.next();
@@ -159,6 +164,16 @@
         }
     }
 
+    /// Counts the time to the first piece, or since the last one.
+    fn measure(&mut self) {
+        let now = self.daemon.now();
+        let metrics = self.daemon.recorder().metrics();
+        match self.last_piece.replace(now) {
+            None => metrics.first_token(self.request.prompt, now.since(self.request.arrived)),
+            Some(last) => metrics.token_gap(self.request.prompt, now.since(last)),
+        }
+    }
+
     /// Builds the frame that asks for the rest of an answer.
     fn resume_frame(&self, receiver: &Receiver, attempt: WireAttempt) -> link::Resume {
         link::Resume {
--- a/crates/entry/src/http/models.rs
+++ b/crates/entry/src/http/models.rs
@@ -4,8 +4,8 @@
 use kumquattiller_base::error;
 use kumquattiller_base::fingerprint::Fingerprint;
 use kumquattiller_base::service;
+use kumquattiller_base::size::Tokens;
 use poem::Body;
-use poem::IntoResponse;
 use poem::Response;
 use poem::handler;
 use poem::http::HeaderMap;
@@ -29,13 +29,15 @@
 /// Serves `POST /v1/completions`.
 #[handler]
 pub async fn completions(Data(daemon): Data<&Daemon>, headers: &HeaderMap, body: Body) -> Response {
-    serve(daemon, headers, body, Shape::Completion).await.unwrap_or_else(Error::into_response)
+    serve(daemon, headers, body, Shape::Completion)
+        .await
+        .unwrap_or_else(|e| handlers::refuse(daemon, e))
 }
 
 /// Serves `POST /v1/chat/completions`.
 #[handler]
 pub async fn chat(Data(daemon): Data<&Daemon>, headers: &HeaderMap, body: Body) -> Response {
-    serve(daemon, headers, body, Shape::Chat).await.unwrap_or_else(Error::into_response)
+    serve(daemon, headers, body, Shape::Chat).await.unwrap_or_else(|e| handlers::refuse(daemon, e))
 }
 
 async fn serve(
@@ -45,6 +47,8 @@
     shape: Shape,
 ) -> Result<Response, Error> {
     handlers::check_serving(daemon)?;
+    let arrived = daemon.now();
+    let trace = headers::trace(headers);
     let account = headers::account(headers, &daemon.snapshot())?;
     if let Some(event_id) = headers::last_event_id(headers)? {
         return Ok(resume::serve(daemon, account, event_id, shape).await);
@@ -59,6 +63,7 @@
     let snapshot = daemon.snapshot();
     let model: service::Model = parts.model.parse().map_err(|_| error::Kind::UnknownModel)?;
     let service = snapshot.service_of(&model).ok_or(error::Kind::UnknownModel)?.clone();
+    check_size(&parts, snapshot.largest_set(&service))?;
     let idempotent = snapshot.is_idempotent(&service, "POST", ENGINE_PATH);
     if !idempotent && key.is_none() {
         return Err(error::Kind::MissingKey.into());
@@ -77,8 +82,10 @@
         max_tokens: parts.max_tokens,
         idempotent,
         key,
-        deadline: Deadline::after(daemon.now(), span),
+        deadline: Deadline::after(arrived, span),
         blocks: hash_blocks(parts.prompt.as_bytes()),
+        arrived,
+        trace,
         body: parts.prompt.into(),
     };
     let prompt = request.prompt;
@@ -88,3 +95,13 @@
     }
     Ok(answer::whole(id, shape, &parts.model, prompt, output).await)
 }
+
+/// Refuses a request that no reachable set of engines holds, naming the limit.
+fn check_size(parts: &Parts, largest: Tokens) -> Result<(), Error> {
+    let wanted = parts.tokens.saturating_add(parts.max_tokens);
+    if largest == Tokens::ZERO || wanted <= largest {
+        return Ok(());
+    }
+    let detail = format!("prompt and answer have {wanted}, at most {largest} fit");
+    Err(Error::not_admitted(error::Kind::PromptTooLarge).with_detail(detail))
+}
--- a/crates/entry/src/runners/call.rs
+++ b/crates/entry/src/runners/call.rs
@@ -5,6 +5,7 @@
 use kumquattiller_base::time::Moment;
 use kumquattiller_link::Closed;
 use kumquattiller_link::Sender;
+use kumquattiller_telemetry::traces;
 use kumquattiller_wire::Attempt;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::link;
@@ -49,10 +50,12 @@
         attempt: Attempt,
         suspect: bool,
         now: Moment,
+        trace: traces::Context,
     ) -> Result<(), Closed> {
         self.current = Some((attempt, self.remote.wait_for(attempt)));
-        let incarnation = self.remote.incarnation();
-        let start = link::Start { suspect, ..start_frame(request, attempt, incarnation, now) };
+        let mut start = start_frame(request, attempt, self.remote.incarnation(), now);
+        start.suspect = suspect;
+        start.trace_parent = trace.to_string();
         self.sender.send(Body::Start(start)).await?;
         self.sender.send_body(attempt, &request.body).await
     }
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -14,6 +14,7 @@
 use kumquattiller_link::Clock;
 use kumquattiller_link::Identity;
 use kumquattiller_link::incarnation;
+use kumquattiller_telemetry::Recorder;
 use kumquattiller_wire::Load;
 use tokio::net::TcpListener;
 use tokio::time::interval;
@@ -46,6 +47,7 @@
     memory: Account,
     jobs: job::Table,
     suspects: Suspects,
+    recorder: Recorder,
     work: TaskTracker,
     leaving: AtomicBool,
     stopped: CancellationToken,
@@ -73,6 +75,7 @@
             clock: Clock::start(),
             jobs: job::Table::default(),
             suspects,
+            recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
             stopped: CancellationToken::new(),
@@ -172,6 +175,11 @@
         &self.inner.suspects
     }
 
+    /// Returns the metrics and the decisions.
+    pub fn recorder(&self) -> &Recorder {
+        &self.inner.recorder
+    }
+
     /// Tells whether new work is refused.
     pub fn is_leaving(&self) -> bool {
         self.inner.leaving.load(Ordering::SeqCst)
