tests: claims, resumption and crashing requests with processes

Cause: claims, joined links and suspects had tests of their decisions only. Ruled out: asserting that a frozen holder's key is free at once; its record is released by the next read after the store answers, and until then a repeat is truthfully told that it is not known. Conclusion: one start a key and two engines a crashing request hold for the real programs.

--- /dev/null
+++ b/tests/testsuite/crashing.rs
@@ -0,0 +1,94 @@
+//! Requests that end every engine that runs them.
+
+use kumquattiller_standins::engine;
+use kumquattiller_support::caller::Caller;
+use kumquattiller_support::caller::Piece;
+use kumquattiller_support::fleet::Fleet;
+use kumquattiller_support::fleet::MODEL;
+
+use crate::support::fleet;
+
+const MARKER: &str = "ends-the-engine";
+const ENGINES: usize = 5;
+const INNOCENTS: usize = 8;
+const TOKENS: u64 = 60;
+
+async fn start() -> Fleet {
+    let engine =
+        engine::Settings { crash_marker: Some(MARKER.to_owned()), ..engine::Settings::default() };
+    fleet().engines(ENGINES).engine(engine).start().await
+}
+
+fn lost(fleet: &Fleet) -> usize {
+    (0..ENGINES).filter(|index| !fleet.engine(*index).is_running()).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashing_request_re_sent_through_both_daemons_ends_two_engines() {
+    let fleet = start().await;
+    let body = Caller::completion(MODEL, MARKER, 10, false);
+    for round in 0..4 {
+        let answer = fleet.caller(round % 2).complete(&body).await;
+        assert_eq!(answer.kind(), "crashes_backends", "{answer:?}");
+        assert!(answer.retry_after.is_some(), "{answer:?}");
+        assert_eq!(answer.ran(), if round == 0 { "unknown" } else { "no" }, "{answer:?}");
+    }
+    assert_eq!(lost(&fleet), 2);
+    let other = Caller::completion(MODEL, "odour at Shaw", 10, false);
+    assert_eq!(fleet.caller(0).complete(&other).await.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_innocent_beside_a_crashing_request_finish() {
+    let fleet = start().await;
+    let mut streams = Vec::new();
+    for index in 0..INNOCENTS {
+        let caller = fleet.caller(index % 2);
+        let prompt = format!("odour at street {index}");
+        let whole = caller.complete(&Caller::completion(MODEL, &prompt, TOKENS, false)).await;
+        let stream = caller.stream(&Caller::completion(MODEL, &prompt, TOKENS, true)).await;
+        streams.push((stream.expect("answer is streamed"), whole.text().to_owned()));
+    }
+    let body = Caller::completion(MODEL, MARKER, 10, false);
+    let callers = [fleet.caller(0), fleet.caller(1)];
+    let crashing = tokio::spawn(async move {
+        for round in 0..4 {
+            callers[round % 2].complete(&body).await;
+        }
+    });
+    for (index, (mut stream, whole)) in streams.into_iter().enumerate() {
+        let (text, end) = stream.rest().await;
+        assert_eq!((end, text), (Piece::Done, whole), "innocent {index}");
+    }
+    crashing.await.expect("the crashing request ends");
+    assert!(lost(&fleet) <= 2, "{} engines lost", lost(&fleet));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_daemon_learns_the_cases_from_the_store() {
+    let mut fleet = start().await;
+    let body = Caller::completion(MODEL, MARKER, 10, false);
+    fleet.caller(0).complete(&body).await;
+    assert_eq!(lost(&fleet), 2);
+    kumquattiller_support::wait::until(
+        "the record in the store",
+        std::time::Duration::from_secs(10),
+        async || {
+            fleet
+                .platform
+                .list("suspects")
+                .objects
+                .iter()
+                .any(|o| o.value.to_string().contains("convictions"))
+        },
+    )
+    .await;
+    for entry in &mut fleet.entries {
+        entry.program.kill().await;
+        entry.restart(&fleet.binaries);
+    }
+    fleet.ready().await;
+    let answer = fleet.caller(1).complete(&body).await;
+    assert_eq!((answer.kind(), answer.ran()), ("crashes_backends", "no"), "{answer:?}");
+    assert_eq!(lost(&fleet), 2);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,10 @@
 //! Tests of the real programs against stand-ins, a module for each topic.
 
 mod api_page;
+mod claims;
 mod command;
+mod crashing;
 mod path;
+mod resume;
 mod settings;
 mod support;
