--- /dev/null
+++ b/crates/experiment/src/report.rs
@@ -0,0 +1,1 @@
+//! Plots and a page of a suite.
--- /dev/null
+++ b/crates/experiment/src/world/event.rs
@@ -0,0 +1,60 @@
+use std::cmp::Ordering;
+
+use kumquattiller_base::time::Moment;
+use kumquattiller_routing::load::Load;
+
+/// What happens in a run.
+#[derive(Debug, Clone)]
+pub(super) enum Event {
+    /// A caller's request reaches its entry daemon.
+    Arrive { job: usize },
+    /// An attempt reaches a runner process.
+    Offer { job: usize, runner: usize, attempt: u32 },
+    /// A refusal or a loss reaches the entry daemon.
+    Returned { job: usize, runner: usize, attempt: u32 },
+    /// An ended request reaches the entry daemon.
+    Ended { job: usize, runner: usize },
+    /// A step of an engine ends.
+    Step { runner: usize, life: u32 },
+    /// A runner process reports and looks at what waits.
+    Heartbeat { runner: usize },
+    /// A report reaches an entry daemon.
+    Report { daemon: usize, runner: usize, load: Load },
+    /// A request's deadline passes.
+    Expire { job: usize },
+    /// An engine dies.
+    Die { runner: usize },
+    /// An engine is back.
+    Revive { runner: usize },
+    /// A long prompt's reservation goes on.
+    Reserve { job: usize },
+}
+
+/// An event with its time and its place among events of the same time.
+#[derive(Debug)]
+pub(super) struct Timed {
+    pub at: Moment,
+    pub sequence: u64,
+    pub event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    /// Orders the earliest last, since the heap pops the greatest.
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.sequence).cmp(&(self.at, self.sequence))
+    }
+}
--- /dev/null
+++ b/crates/routing/src/admission/action.rs
@@ -0,0 +1,46 @@
+use std::time::Duration;
+
+use kumquattiller_base::error::Kind;
+use kumquattiller_base::request::Id;
+
+/// Why a request was not admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// The error kind for the entry daemon.
+    pub kind: Kind,
+    /// When trying again makes sense.
+    pub retry_after: Duration,
+}
+
+/// The answer to a request that wants in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Start it now with this engine priority; lower runs first.
+    Admit {
+        /// The engine priority.
+        priority: u32,
+    },
+    /// It waits here and is the subject of a later [`Action`].
+    Hold,
+    /// It is not started here.
+    Refuse(Refusal),
+}
+
+/// What to do with a request that was held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Start it now.
+    Admit {
+        /// The request.
+        request: Id,
+        /// The engine priority; lower runs first.
+        priority: u32,
+    },
+    /// Refuse it; nothing was started.
+    Refuse {
+        /// The request.
+        request: Id,
+        /// The reason.
+        refusal: Refusal,
+    },
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 //! in, decisions come out. Random numbers come from the generator that the caller passes. Each
 //! choice carries its [`choice::Reason`] for `kumquattiller explain`.
 
+pub mod admission;
 pub mod band;
 pub mod choice;
 pub mod load;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+mod experiment;
 mod generate;
 mod lint;
 mod test;
@@ -17,6 +18,7 @@
 const USAGE: &str = "\
 usage: cargo xtask <chore>
 
+  experiment           measure the routing decisions; see docs/MEASUREMENTS.md
   generate [--check]   write the link types, or check that the committed ones are fresh
   lint                 check imports, file sizes and places of tests
   test                 run all tests but those in KNOWN-RED.txt, which are printed
@@ -25,6 +27,7 @@
 fn main() -> ExitCode {
     let mut args = pico_args::Arguments::from_env();
     let outcome = match args.subcommand().ok().flatten().as_deref() {
+        Some("experiment") => experiment::exec(args),
         Some("generate") => generate::exec(args),
         Some("lint") => lint::exec(args),
         Some("test") => test::exec(args),
