routing: size-interval assignment with a moving cut-off

Cause: short prompts beside long prefill decode at half speed, and a policy by estimated delay alone (kumquattiller_v1) spreads long prompts over all engines. Now engines are set aside by the work seen, crossing the cut-off has a cost, and gates learn how long requests really take.

Ruled out: weights of caused delay 0.125 (slower for short ones), 0.5 and 1 (more long ones refused).

--- a/crates/routing/src/admission/gate.rs
+++ b/crates/routing/src/admission/gate.rs
@@ -26,10 +26,14 @@
 /// When to try another runner while this one leaves.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Weight of one request in the learnt share of the busy time.
+const STRETCH_WEIGHT: f64 = 0.02;
+
 /// A request that the engine runs.
 #[derive(Debug, Clone, Copy)]
 struct Running {
     item: Item,
+    started: Moment,
     expected_end: Moment,
     is_prefilling: bool,
 }
@@ -44,6 +48,7 @@
     backlog: Tokens,
     long_backlog: Tokens,
     leaving: bool,
+    stretch: f64,
 }
 
 impl Gate {
@@ -57,6 +62,7 @@
             backlog: Tokens::ZERO,
             long_backlog: Tokens::ZERO,
             leaving: false,
+            stretch: 1.0,
         }
     }
 
@@ -96,6 +102,8 @@
             self.held = self.held.saturating_sub(running.item.footprint());
             if running.is_prefilling {
                 self.take_from_backlog(&running.item);
+            } else if !running.item.is_reservation {
+                self.learn(&running, now);
             }
         }
         self.advance(now)
@@ -192,14 +200,15 @@
         let expected_end = if item.is_reservation {
             item.deadline
         } else {
-            now + estimate::busy_time(&item, &self.limits)
+            now + estimate::busy_time(&item, &self.limits).mul_f64(self.stretch)
         };
         let is_prefilling = !item.is_reservation;
         if is_prefilling {
             self.add_to_backlog(&item);
         }
         self.held = self.held.saturating_add(item.footprint());
-        self.running.insert(item.request, Running { item, expected_end, is_prefilling });
+        self.running
+            .insert(item.request, Running { item, started: now, expected_end, is_prefilling });
         item.band().priority()
     }
 
@@ -234,6 +243,14 @@
         });
     }
 
+    /// Learns how long requests take, as a share of their time on a busy engine.
+    fn learn(&mut self, running: &Running, now: Moment) {
+        let assumed = estimate::busy_time(&running.item, &self.limits).as_secs_f64();
+        let taken = now.since(running.started).as_secs_f64();
+        let ratio = (taken / assumed.max(f64::MIN_POSITIVE)).min(1.0);
+        self.stretch += (ratio - self.stretch) * STRETCH_WEIGHT;
+    }
+
     /// Returns the memory that a band may fill.
     fn room_for(&self, band: Band) -> Tokens {
         match band {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod admission;
 pub mod band;
 pub mod choice;
+pub mod interval;
 pub mod load;
 pub mod pace;
 pub mod policy;
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -25,6 +25,9 @@
     /// The lowest estimated cost over all runners.
     #[strum(serialize = "kumquattiller_v1")]
     KumquattillerV1,
+    /// The lowest estimated cost, with engines set aside for long prompts.
+    #[strum(serialize = "kumquattiller_v2")]
+    KumquattillerV2,
     /// The present best.
     #[default]
     Kumquattiller,
@@ -33,6 +36,6 @@
 impl Policy {
     /// Tells whether runner processes hold, order and refuse requests under this policy.
     pub const fn has_gate(self) -> bool {
-        matches!(self, Self::KumquattillerV1 | Self::Kumquattiller)
+        matches!(self, Self::KumquattillerV1 | Self::KumquattillerV2 | Self::Kumquattiller)
     }
 }
--- a/crates/routing/src/router/cost.rs
+++ b/crates/routing/src/router/cost.rs
@@ -8,6 +8,7 @@
 use crate::band::Band;
 use crate::choice::Choice;
 use crate::choice::Reason;
+use crate::interval::Division;
 use crate::pace::Pace;
 use crate::request::Request;
 use crate::router::is_candidate;
@@ -24,11 +25,25 @@
 /// Cost added for a runner in another region.
 const OTHER_REGION_COST: Duration = Duration::from_millis(500);
 
+/// What a policy weighs.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Weights {
+    /// Share of the delay caused to others that counts.
+    pub caused: f64,
+    /// Engines set aside for long prompts.
+    pub division: Division,
+    /// Cost of a short prompt on an engine set aside, as a share of its decoding.
+    pub short_toll: f64,
+    /// Cost of a long prompt on another engine, as a share of its time on an idle engine.
+    pub long_toll: f64,
+}
+
 /// Picks the open runner with the lowest cost, ties from a random start.
 pub(super) fn lowest<R: Rng>(
     table: &Table,
     request: &Request<'_>,
     pace: &Pace,
+    weights: &Weights,
     rng: &mut R,
 ) -> Option<Choice> {
     let count = table.len();
@@ -39,18 +54,29 @@
     let (cost, slot) = (0..count)
         .map(|step| (start + step) % count)
         .filter(|&slot| is_candidate(&table.runners()[slot], request))
-        .map(|slot| (of(&table.runners()[slot], request, pace), slot))
+        .map(|slot| (of(&table.runners()[slot], request, pace, weights), slot))
         .min_by_key(|&(cost, _)| cost)?;
     let runner = &table.runners()[slot];
-    let reason = Reason::LowestCost { cost, distance: runner.distance };
+    let reason = if is_borrowed(runner, request, weights) {
+        Reason::Borrowed { cost, cutoff: weights.division.cutoff }
+    } else {
+        Reason::LowestCost { cost, distance: runner.distance }
+    };
     Some(Choice { runner: runner.id.clone(), slot, reason })
 }
 
 /// Returns the delay of the request at a runner, and the delay that it causes there.
-pub(super) fn of(runner: &Runner, request: &Request<'_>, pace: &Pace) -> Duration {
+pub(super) fn of(
+    runner: &Runner,
+    request: &Request<'_>,
+    pace: &Pace,
+    weights: &Weights,
+) -> Duration {
     memory_wait(runner, request)
         + prefill_wait(runner, request, pace)
-        + interference(runner, request, pace)
+        + suffered(runner, request, pace)
+        + caused(runner, request, pace).mul_f64(weights.caused)
+        + toll(runner, request, pace, weights)
         + distance_cost(runner.distance)
 }
 
@@ -73,15 +99,33 @@
     pace.prefill_time(ahead)
 }
 
-/// Returns how long prompts of others slow this answer, and this prompt the answers of others.
-fn interference(runner: &Runner, request: &Request<'_>, pace: &Pace) -> Duration {
-    let suffered = pace.prefill_time(runner.long_backlog()).min(pace.decode_time(request.answer));
-    let caused = pace.prefill_time(request.prompt) * runner.requests() / CAUSED_SHARE;
-    suffered + caused
+/// Returns how long prompts of others slow this answer.
+fn suffered(runner: &Runner, request: &Request<'_>, pace: &Pace) -> Duration {
+    pace.prefill_time(runner.long_backlog()).min(pace.decode_time(request.answer))
+}
+
+/// Returns how long this prompt slows the answers of others, summed up over them.
+fn caused(runner: &Runner, request: &Request<'_>, pace: &Pace) -> Duration {
+    pace.prefill_time(request.prompt) * runner.requests()
 }
 
-/// Share of the delay caused to others that counts, as a divisor.
-const CAUSED_SHARE: u32 = 8;
+/// Tells whether the runner is set aside for the other side of the cut-off.
+fn is_borrowed(runner: &Runner, request: &Request<'_>, weights: &Weights) -> bool {
+    let is_long = request.prompt > weights.division.cutoff;
+    weights.division.long_engines > 0 && is_long != (runner.rank < weights.division.long_engines)
+}
+
+/// Returns the cost of crossing the cut-off.
+fn toll(runner: &Runner, request: &Request<'_>, pace: &Pace, weights: &Weights) -> Duration {
+    if !is_borrowed(runner, request, weights) {
+        return Duration::ZERO;
+    }
+    if request.prompt > weights.division.cutoff {
+        pace.service_time(request.prompt, request.answer).mul_f64(weights.long_toll)
+    } else {
+        pace.decode_time(request.answer).mul_f64(weights.short_toll)
+    }
+}
 
 /// Returns the cost of the way to the runner.
 const fn distance_cost(distance: Distance) -> Duration {
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -6,25 +6,42 @@
 use std::time::Duration;
 
 use kumquattiller_base::error::Kind;
+use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
 use rand::Rng;
 
 use crate::choice::Choice;
+use crate::interval::Division;
+use crate::interval::Meter;
 use crate::pace::Pace;
 use crate::policy::Policy;
 use crate::request::Request;
+use crate::router::cost::Weights;
 use crate::table::Runner;
 use crate::table::Table;
 
 /// When to try again while every runner is unreachable or leaving.
 const NO_RUNNER_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Share of the delay caused to others that counts.
+const CAUSED_SHARE: f64 = 0.25;
+
+/// Share of the delay caused to others that counts in the first version.
+const CAUSED_SHARE_V1: f64 = 0.125;
+
+/// Cost of a short prompt on an engine set aside for long ones, as a share of its decoding.
+const SHORT_TOLL: f64 = 1.0;
+
+/// Cost of a long prompt on another engine, as a share of its time on an idle engine.
+const LONG_TOLL: f64 = 0.5;
+
 /// Picks runners of one service.
 #[derive(Debug, Clone)]
 pub struct Router {
     policy: Policy,
     pace: Pace,
     turn: usize,
+    meter: Meter,
 }
 
 /// Why no runner was picked.
@@ -38,8 +55,8 @@
 
 impl Router {
     /// Makes a router.
-    pub const fn new(policy: Policy, pace: Pace) -> Self {
-        Self { policy, pace, turn: 0 }
+    pub fn new(policy: Policy, pace: Pace) -> Self {
+        Self { policy, pace, turn: 0, meter: Meter::default() }
     }
 
     /// Returns the policy.
@@ -59,18 +76,48 @@
         now: Moment,
         rng: &mut R,
     ) -> Result<Choice, Refusal> {
-        let _ = now;
         let choice = match self.policy {
             Policy::RoundRobin => self.by_turn(table, request),
             Policy::LeastOutstanding => baseline::least_outstanding(table, request, rng),
             Policy::TwoChoices => baseline::two_choices(table, request, rng),
-            Policy::KumquattillerV1 | Policy::Kumquattiller => {
-                cost::lowest(table, request, &self.pace, rng)
+            Policy::KumquattillerV1 | Policy::KumquattillerV2 | Policy::Kumquattiller => {
+                self.observe(table, request, now);
+                let weights = self.weights(table.len());
+                cost::lowest(table, request, &self.pace, &weights, rng)
             }
         };
         choice.ok_or(Refusal { kind: Kind::NoRunner, retry_after: NO_RUNNER_RETRY_AFTER })
     }
 
+    /// Adds the work of a request's first attempt to the meter.
+    fn observe(&mut self, table: &Table, request: &Request<'_>, now: Moment) {
+        let capacity = table.runners().first().map_or(0, |r| r.load.capacity.get());
+        if !request.tried.is_empty() || capacity == 0 {
+            return;
+        }
+        let time = self.pace.service_time(request.prompt, request.answer);
+        let memory = time.mul_f64(request.footprint().get() as f64 / capacity as f64);
+        self.meter.observe(request.prompt, memory, now);
+    }
+
+    fn weights(&self, engines: usize) -> Weights {
+        let undivided = Division { long_engines: 0, cutoff: Tokens::MAX };
+        match self.policy {
+            Policy::KumquattillerV1 => Weights {
+                caused: CAUSED_SHARE_V1,
+                division: undivided,
+                short_toll: 0.0,
+                long_toll: 0.0,
+            },
+            _ => Weights {
+                caused: CAUSED_SHARE,
+                division: self.meter.division(engines),
+                short_toll: SHORT_TOLL,
+                long_toll: LONG_TOLL,
+            },
+        }
+    }
+
     fn by_turn(&mut self, table: &Table, request: &Request<'_>) -> Option<Choice> {
         let (choice, next) = baseline::by_turn(table, request, self.turn)?;
         self.turn = next;
--- a/crates/routing/src/table/mod.rs
+++ b/crates/routing/src/table/mod.rs
@@ -33,6 +33,7 @@
         }
         self.slots.insert(id.clone(), self.runners.len());
         self.runners.push(Runner::new(id, distance));
+        self.rank();
     }
 
     /// Removes a runner.
@@ -44,6 +45,7 @@
         if let Some(moved) = self.runners.get(slot) {
             self.slots.insert(moved.id.clone(), slot);
         }
+        self.rank();
     }
 
     /// Takes in a report; what was sent before it counts as included.
@@ -94,6 +96,15 @@
         self.runners.is_empty()
     }
 
+    /// Orders the runners by their hashes.
+    fn rank(&mut self) {
+        let mut order: Vec<usize> = (0..self.runners.len()).collect();
+        order.sort_unstable_by_key(|&slot| self.runners[slot].hash);
+        for (rank, slot) in order.into_iter().enumerate() {
+            self.runners[slot].rank = rank;
+        }
+    }
+
     fn get_mut(&mut self, id: &Id) -> Option<&mut Runner> {
         self.slots.get(id).map(|&slot| &mut self.runners[slot])
     }
--- a/crates/routing/src/table/runner.rs
+++ b/crates/routing/src/table/runner.rs
@@ -1,6 +1,7 @@
 use kumquattiller_base::runner::Id;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::band::Band;
 use crate::load::Load;
@@ -12,6 +13,10 @@
 pub struct Runner {
     /// The runner's id.
     pub id: Id,
+    /// A hash of its id, the same in every daemon.
+    pub(super) hash: u64,
+    /// Its place among the runners when they are ordered by a hash of their ids.
+    pub rank: usize,
     /// How far it is.
     pub distance: Distance,
     /// Its last report.
@@ -36,7 +41,9 @@
     /// Makes an entry for a runner that has not reported.
     pub(super) fn new(id: Id, distance: Distance) -> Self {
         Self {
+            hash: xxh3_64(id.as_str().as_bytes()),
             id,
+            rank: 0,
             distance,
             load: Load::default(),
             reported: None,
