--- a/crates/experiment/src/model.rs
+++ b/crates/experiment/src/model.rs
@@ -34,6 +34,8 @@
     pub prefill_token: Duration,
     /// Most prompt tokens computed in a step.
     pub chunk: Tokens,
+    /// Time to pass the KV of one segment from engine to engine.
+    pub handover: Duration,
     /// Time between reports of a runner to each entry daemon.
     pub report_interval: Duration,
     /// Mean tokens of an answer.
@@ -49,6 +51,7 @@
             decode_step: Duration::from_millis(20),
             prefill_token: Duration::from_micros(10),
             chunk: Tokens::new(2_048),
+            handover: Duration::from_millis(100),
             report_interval: Duration::from_millis(100),
             mean_answer: Tokens::new(486),
             death_interval: None,
@@ -68,6 +71,8 @@
     PrefillToken,
     /// [`Model::chunk`].
     Chunk,
+    /// [`Model::handover`].
+    Handover,
     /// [`Model::report_interval`].
     ReportInterval,
     /// [`Model::mean_answer`].
@@ -83,6 +88,7 @@
             Parameter::DecodeStep => self.decode_step = self.decode_step.mul_f64(factor),
             Parameter::PrefillToken => self.prefill_token = self.prefill_token.mul_f64(factor),
             Parameter::Chunk => self.chunk = tokens(self.chunk),
+            Parameter::Handover => self.handover = self.handover.mul_f64(factor),
             Parameter::ReportInterval => {
                 self.report_interval = self.report_interval.mul_f64(factor);
             }
--- a/crates/experiment/src/world/mod.rs
+++ b/crates/experiment/src/world/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use kumquattiller_base::account::Rank;
+use kumquattiller_base::place::Zone;
 use kumquattiller_base::time::Moment;
 use kumquattiller_routing::policy::Policy;
 use kumquattiller_routing::request::Request;
@@ -113,7 +114,7 @@
         let mut table = Table::default();
         for site in &self.sites {
             let distance = if site.zone == zone { Distance::OwnZone } else { Distance::OwnRegion };
-            table.insert(site.id.clone(), distance);
+            table.insert(site.id.clone(), zone_name(site.zone), distance);
             table.report(&site.id, site.load(self.policy.has_gate()), Moment::ZERO);
         }
         let seed = seed ^ DECISION_SEED ^ (zone as u64 + 1);
@@ -244,3 +245,8 @@
         }
     }
 }
+
+/// Returns the name of an availability zone.
+fn zone_name(zone: usize) -> Zone {
+    format!("zone-{zone}").parse().expect("a valid name")
+}
--- a/crates/experiment/src/world/runners.rs
+++ b/crates/experiment/src/world/runners.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use kumquattiller_base::request::Id;
-use kumquattiller_base::size::Tokens;
 use kumquattiller_routing::admission::Action;
 use kumquattiller_routing::admission::Item;
 use kumquattiller_routing::admission::Verdict;
@@ -103,10 +102,16 @@
         self.gaps.record(self.now.since(site.step_began), site.engine.decoding());
         let progress = site.engine.step();
         for &job in &progress.first {
-            self.first_token(job, runner);
+            if !self.is_segment(job) {
+                self.first_token(job, runner);
+            }
         }
         for &job in &progress.ended {
-            self.end(job, runner);
+            if self.is_segment(job) {
+                self.end_segment(job);
+            } else {
+                self.end(job, runner);
+            }
         }
         self.kick(runner);
     }
@@ -155,6 +160,7 @@
                     }
                     self.start(job, runner, priority);
                 }
+                Action::Expire { .. } => {}
                 Action::Refuse { request, .. } => {
                     let job = job(request);
                     if self.refused_long(job, runner) {
@@ -196,6 +202,7 @@
         self.sites[runner].is_alive = false;
         self.sites[runner].clear(&self.model);
         self.set_reachable(runner, false);
+        self.forget_taken(runner);
         let lost = |s: &&usize| self.states[**s].runner == Some(runner);
         let open: Vec<usize> = (0..self.states.len()).collect();
         let lost: Vec<usize> = open.iter().filter(lost).copied().collect();
@@ -234,8 +241,3 @@
 pub(super) const fn job(request: Id) -> usize {
     request.as_u128() as usize
 }
-
-/// Returns the tokens of one part when a prompt is spread over `parts` engines.
-pub(super) const fn part(total: Tokens, parts: usize) -> Tokens {
-    Tokens::new(total.get().div_ceil(parts as u64))
-}
--- a/crates/routing/src/admission/action.rs
+++ b/crates/routing/src/admission/action.rs
@@ -36,6 +36,11 @@
         /// The engine priority; lower runs first.
         priority: u32,
     },
+    /// The reservation ran out, and its memory is free again.
+    Expire {
+        /// The request.
+        request: Id,
+    },
     /// Refuse it; nothing was started.
     Refuse {
         /// The request.
--- a/crates/routing/src/admission/estimate.rs
+++ b/crates/routing/src/admission/estimate.rs
@@ -10,6 +10,9 @@
 
 /// Returns the time from start to end on a busy engine.
 pub(super) fn busy_time(item: &Item, limits: &Limits) -> Duration {
+    if item.is_reservation {
+        return Duration::ZERO;
+    }
     let decode = limits.busy_step * item.answer.get().min(u64::from(u32::MAX)) as u32;
     // The engine decodes others beside, so a prompt takes about twice its time alone.
     limits.pace.prefill_time(item.prompt) * 2 + decode
--- a/crates/routing/src/admission/gate.rs
+++ b/crates/routing/src/admission/gate.rs
@@ -233,6 +233,7 @@
 
     fn expire(&mut self, now: Moment, actions: &mut Vec<Action>) {
         let limits = self.limits;
+        self.expire_reservations(now, actions);
         self.waiting.retain(|w| {
             let in_time = !order::slack(&w.item, &limits, now).is_zero();
             if !in_time {
@@ -243,6 +244,18 @@
         });
     }
 
+    /// Frees the memory of reservations whose owner did not release them in time.
+    fn expire_reservations(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        let is_over = |r: &Running| r.item.is_reservation && r.item.deadline <= now;
+        let over: Vec<Item> =
+            self.running.values().filter(|r| is_over(r)).map(|r| r.item).collect();
+        for item in over {
+            self.running.remove(&item.request);
+            self.held = self.held.saturating_sub(item.footprint());
+            actions.push(Action::Expire { request: item.request });
+        }
+    }
+
     /// Learns how long requests take, as a share of their time on a busy engine.
     fn learn(&mut self, running: &Running, now: Moment) {
         let assumed = estimate::busy_time(&running.item, &self.limits).as_secs_f64();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod choice;
 pub mod interval;
 pub mod load;
+pub mod long;
 pub mod pace;
 pub mod policy;
 pub mod request;
--- a/crates/routing/src/table/mod.rs
+++ b/crates/routing/src/table/mod.rs
@@ -8,6 +8,7 @@
 
 use std::collections::HashMap;
 
+use kumquattiller_base::place::Zone;
 use kumquattiller_base::runner::Id;
 use kumquattiller_base::time::Moment;
 
@@ -25,14 +26,15 @@
 }
 
 impl Table {
-    /// Adds a runner, or takes over a changed distance.
-    pub fn insert(&mut self, id: Id, distance: Distance) {
+    /// Adds a runner, or takes over its changed place.
+    pub fn insert(&mut self, id: Id, zone: Zone, distance: Distance) {
         if let Some(&slot) = self.slots.get(&id) {
+            self.runners[slot].zone = zone;
             self.runners[slot].distance = distance;
             return;
         }
         self.slots.insert(id.clone(), self.runners.len());
-        self.runners.push(Runner::new(id, distance));
+        self.runners.push(Runner::new(id, zone, distance));
         self.rank();
     }
 
--- a/crates/routing/src/table/runner.rs
+++ b/crates/routing/src/table/runner.rs
@@ -1,3 +1,4 @@
+use kumquattiller_base::place::Zone;
 use kumquattiller_base::runner::Id;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
@@ -14,9 +15,11 @@
     /// The runner's id.
     pub id: Id,
     /// A hash of its id, the same in every daemon.
-    pub(super) hash: u64,
+    pub(crate) hash: u64,
     /// Its place among the runners when they are ordered by a hash of their ids.
     pub rank: usize,
+    /// Its availability zone.
+    pub zone: Zone,
     /// How far it is.
     pub distance: Distance,
     /// Its last report.
@@ -39,11 +42,12 @@
 
 impl Runner {
     /// Makes an entry for a runner that has not reported.
-    pub(super) fn new(id: Id, distance: Distance) -> Self {
+    pub(super) fn new(id: Id, zone: Zone, distance: Distance) -> Self {
         Self {
             hash: xxh3_64(id.as_str().as_bytes()),
             id,
             rank: 0,
+            zone,
             distance,
             load: Load::default(),
             reported: None,
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -39,7 +39,7 @@
 fn table(count: usize) -> Table {
     let mut table = Table::default();
     for number in 0..count {
-        table.insert(id(number), Distance::OwnZone);
+        table.insert(id(number), "pasig".parse().unwrap(), Distance::OwnZone);
         let load = Load { capacity: CAPACITY, ..Load::default() };
         table.report(&id(number), load, Moment::ZERO);
     }
