--- a/crates/experiment/src/world/long.rs
+++ b/crates/experiment/src/world/long.rs
@@ -45,8 +45,9 @@
         let busy = limits.pace.prefill_time(work.prompt) * 2;
         let decode = limits.busy_step * work.max_answer.get() as u32;
         let start_by = work.deadline - busy - decode;
-        let table = &self.entries[self.daemon(job)].table;
-        let begun = Reservation::begin(table, work.footprint(), start_by, self.now);
+        let entry = &self.entries[self.daemon(job)];
+        let aside = entry.router.division(&entry.table).long_engines;
+        let begun = Reservation::begin(&entry.table, work.footprint(), aside, start_by, self.now);
         let Ok((reservation, actions)) = begun else {
             self.finish(job, Result::Refused);
             return;
--- a/crates/routing/src/admission/gate.rs
+++ b/crates/routing/src/admission/gate.rs
@@ -138,6 +138,8 @@
     /// Returns the load to report.
     pub fn load(&self) -> Load {
         let waiting = self.waiting.iter().map(|w| w.item);
+        let reserved = self.running.values().filter(|r| r.item.is_reservation);
+        let reserved = reserved.fold(Tokens::ZERO, |s, r| s.saturating_add(r.item.prompt));
         let wanted = waiting.clone().fold(Tokens::ZERO, |s, i| s.saturating_add(i.footprint()));
         let prompts = waiting.clone().fold(Tokens::ZERO, |s, i| s.saturating_add(i.prompt));
         let long = waiting.filter(|i| i.band() != Band::UpTo8k);
@@ -147,8 +149,8 @@
             waiting: self.waiting.len() as u32,
             held: self.held.saturating_add(wanted),
             capacity: self.limits.capacity,
-            backlog: self.backlog.saturating_add(prompts),
-            long_backlog: self.long_backlog.saturating_add(long),
+            backlog: self.backlog.saturating_add(prompts).saturating_add(reserved),
+            long_backlog: self.long_backlog.saturating_add(long).saturating_add(reserved),
             leaving: self.leaving,
         }
     }
--- a/crates/routing/src/long/plan.rs
+++ b/crates/routing/src/long/plan.rs
@@ -1,3 +1,4 @@
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use kumquattiller_base::place::Zone;
@@ -8,7 +9,7 @@
 use crate::table::Table;
 
 /// Share of an engine's memory that one part takes while the zone has enough engines, as a divisor.
-const PART_SHARE: u64 = 2;
+const PART_SHARE: u64 = 1;
 
 /// Share of an engine's memory that is kept for short prompts, as a divisor.
 const SHORT_RESERVE_SHARE: u64 = 12;
@@ -39,12 +40,18 @@
 
 /// Picks a set of engines for `footprint`, in the order in which to reserve them.
 ///
-/// Takes the zone whose engines have the most free memory for it.
+/// Takes engines that are set aside for long prompts first; see [`crate::interval`]. Takes the
+/// zone whose engines have the most free memory for it.
 ///
 /// # Errors
 ///
 /// Fails when no zone with open runners could hold the footprint even when idle.
-pub fn plan(table: &Table, footprint: Tokens, lost: &[Id]) -> Result<Vec<Part>, TooLarge> {
+pub fn plan(
+    table: &Table,
+    footprint: Tokens,
+    lost: &[Id],
+    long_engines: usize,
+) -> Result<Vec<Part>, TooLarge> {
     let mut zones: BTreeMap<&Zone, Vec<&Runner>> = BTreeMap::new();
     let open = table.runners().iter().filter(|r| r.is_open() && !lost.contains(&r.id));
     for runner in open {
@@ -52,7 +59,9 @@
     }
     let limit = zones.values().map(|runners| room(runners)).max().unwrap_or_default();
     let sets = zones.into_values().filter(|runners| room(runners) >= footprint);
-    let best = sets.map(|runners| choose(runners, footprint)).max_by_key(|set| spare(set));
+    let best = sets
+        .map(|runners| choose(runners, footprint, long_engines))
+        .max_by_key(|set| (Reverse(outside(set, long_engines)), spare(set)));
     let set = best.ok_or(TooLarge { limit })?;
     Ok(parts(&set, footprint))
 }
@@ -69,8 +78,8 @@
 
 /// Takes the engines with the most free memory until half of each holds the footprint, or all of
 /// each when the zone is too small for that.
-fn choose(mut runners: Vec<&Runner>, footprint: Tokens) -> Vec<&Runner> {
-    runners.sort_by_key(|r| (std::cmp::Reverse(r.free()), r.hash));
+fn choose(mut runners: Vec<&Runner>, footprint: Tokens, long_engines: usize) -> Vec<&Runner> {
+    runners.sort_by_key(|r| (r.rank >= long_engines, Reverse(r.free()), r.hash));
     let largest = runners.iter().map(|r| usable(r).get()).max().unwrap_or(1);
     let wanted = footprint.get().div_ceil((largest / PART_SHARE).max(1)) as usize;
     let enough = (1..=runners.len()).find(|&n| room(&runners[..n]) >= footprint);
@@ -79,6 +88,11 @@
     runners
 }
 
+/// Returns the number of engines that are not set aside for long prompts.
+fn outside(set: &[&Runner], long_engines: usize) -> usize {
+    set.iter().filter(|r| r.rank >= long_engines).count()
+}
+
 /// Returns the least free memory among the engines of a set.
 fn spare(set: &[&Runner]) -> Tokens {
     set.iter().map(|r| r.free()).min().unwrap_or_default()
--- a/crates/routing/src/long/reservation.rs
+++ b/crates/routing/src/long/reservation.rs
@@ -75,6 +75,7 @@
 #[derive(Debug, Clone)]
 pub struct Reservation {
     footprint: Tokens,
+    long_engines: usize,
     start_by: Moment,
     parts: Vec<Part>,
     lost: Vec<Id>,
@@ -91,12 +92,14 @@
     pub fn begin(
         table: &Table,
         footprint: Tokens,
+        long_engines: usize,
         start_by: Moment,
         now: Moment,
     ) -> Result<(Self, Vec<Action>), crate::long::TooLarge> {
-        let parts = plan(table, footprint, &[])?;
+        let parts = plan(table, footprint, &[], long_engines)?;
         let state = State::Over;
-        let mut new = Self { footprint, start_by, parts, lost: Vec::new(), tries: 0, state };
+        let mut new =
+            Self { footprint, long_engines, start_by, parts, lost: Vec::new(), tries: 0, state };
         let actions = new.ask_first(now);
         Ok((new, actions))
     }
@@ -200,7 +203,7 @@
         if now >= self.start_by {
             return self.fail(Kind::Overloaded);
         }
-        match plan(table, self.footprint, &self.lost) {
+        match plan(table, self.footprint, &self.lost, self.long_engines) {
             Ok(parts) => {
                 self.parts = parts;
                 self.ask_first(now)
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -64,6 +64,11 @@
         self.policy
     }
 
+    /// Returns the present division of a table's engines by prompt size.
+    pub fn division(&self, table: &Table) -> Division {
+        self.meter.division(table.len())
+    }
+
     /// Picks a runner for one attempt.
     ///
     /// # Errors
