routing: prefix affinity; parts fill one engine after the other

Prompts are drawn to the runner believed to hold their prefix by the computing that it saves, so load bounds it by itself. Parts of prompts larger than an engine fill engines set aside first, and only the rest goes elsewhere.

--- a/crates/experiment/src/engine.rs
+++ b/crates/experiment/src/engine.rs
@@ -11,6 +11,7 @@
 use kumquattiller_routing::load::Load;
 
 use crate::model::Model;
+use crate::workload;
 
 /// A request as the engine sees it.
 #[derive(Debug, Clone, Copy)]
@@ -56,6 +57,7 @@
     cache: HashMap<u64, (u64, u64)>,
     cached: u64,
     hits: HashMap<usize, Tokens>,
+    evicted: Vec<u64>,
 }
 
 impl Engine {
@@ -75,6 +77,7 @@
             cache: HashMap::new(),
             cached: 0,
             hits: HashMap::new(),
+            evicted: Vec::new(),
         }
     }
 
@@ -102,8 +105,9 @@
     }
 
     /// Takes or gives back memory for a part of a prompt larger than an engine.
-    pub const fn reserve(&mut self, tokens: Tokens) {
+    pub fn reserve(&mut self, tokens: Tokens) {
         self.held += tokens.get();
+        self.evict();
     }
 
     /// Gives back memory of [`Engine::reserve`].
@@ -112,6 +116,11 @@
         self.fill();
     }
 
+    /// Returns the hashes of the prefixes evicted since the last call.
+    pub fn take_evicted(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.evicted)
+    }
+
     /// Tells whether there is anything to do.
     pub fn is_idle(&self) -> bool {
         self.prefill.is_empty() && self.decode.is_empty()
@@ -245,6 +254,7 @@
             };
             let (tokens, _) = self.cache.remove(&session).unwrap_or_default();
             self.cached -= tokens;
+            self.evicted.extend(workload::blocks(session, Tokens::new(tokens)));
         }
     }
 }
--- a/crates/experiment/src/model.rs
+++ b/crates/experiment/src/model.rs
@@ -38,6 +38,8 @@
     pub handover: Duration,
     /// Time between reports of a runner to each entry daemon.
     pub report_interval: Duration,
+    /// Share of reports whose cache events are lost.
+    pub lost_event_share: f64,
     /// Mean tokens of an answer.
     pub mean_answer: Tokens,
     /// Mean time between deaths of one engine; none when `None`.
@@ -53,6 +55,7 @@
             chunk: Tokens::new(2_048),
             handover: Duration::from_millis(100),
             report_interval: Duration::from_millis(100),
+            lost_event_share: 0.01,
             mean_answer: Tokens::new(486),
             death_interval: None,
         }
--- a/crates/experiment/src/workload/mix.rs
+++ b/crates/experiment/src/workload/mix.rs
@@ -3,6 +3,7 @@
 use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
 use kumquattiller_routing::band::Band;
+use kumquattiller_routing::prefix;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
@@ -45,8 +46,8 @@
 /// Multiple of its time on an idle engine that a request is given.
 const DEADLINE_FACTOR: u32 = 4;
 
-/// Tokens of the shortest hashed prefix; each further one is twice as long.
-const BLOCK_TOKENS: u64 = 512;
+/// Bits of a hash that tell the prefixes of a session apart.
+const SESSION_SHIFT: u32 = 8;
 
 /// A session that may go on.
 #[derive(Debug, Clone, Copy)]
@@ -118,7 +119,7 @@
         let known = &mut self.sessions[band.priority() as usize];
         if !known.is_empty() && rng.random::<f64>() < SESSION_SHARE {
             let session = known[rng.random_range(0..known.len())];
-            return (session.id, prefix(session.prompt), session.prompt);
+            return (session.id, shared(session.prompt), session.prompt);
         }
         let session = Session { id: self.next_session, prompt: fresh };
         self.next_session += 1;
@@ -126,17 +127,16 @@
             known.remove(0);
         }
         known.push(session);
-        (session.id, prefix(fresh), fresh)
+        (session.id, shared(fresh), fresh)
     }
 }
 
-fn prefix(prompt: Tokens) -> Tokens {
+fn shared(prompt: Tokens) -> Tokens {
     Tokens::new((prompt.get() as f64 * PREFIX_SHARE) as u64)
 }
 
-/// Returns a hash for each prefix of 512, 1,024, 2,048 … tokens that the session shares.
-fn blocks(session: u64, prefix: Tokens) -> Vec<u64> {
-    let sizes = std::iter::successors(Some(BLOCK_TOKENS), |size| Some(size * 2));
-    let sizes = sizes.take_while(|&size| size <= prefix.get());
-    sizes.map(|size| (session << 32) | size).collect()
+/// Returns a hash for each prefix that the requests of a session share.
+pub fn blocks(session: u64, shared: Tokens) -> Vec<u64> {
+    let places = (0..).take_while(|&place| prefix::tokens(place) <= shared);
+    places.map(|place| (session << SESSION_SHIFT) | place as u64).collect()
 }
--- a/crates/experiment/src/workload/mod.rs
+++ b/crates/experiment/src/workload/mod.rs
@@ -16,6 +16,7 @@
 
 pub use job::Job;
 pub use mix::Mix;
+pub use mix::blocks;
 
 /// Draws that the mean work of a mix is taken from.
 const CAPACITY_DRAWS: usize = 50_000;
--- a/crates/experiment/src/world/event.rs
+++ b/crates/experiment/src/world/event.rs
@@ -1,4 +1,5 @@
 use std::cmp::Ordering;
+use std::rc::Rc;
 
 use kumquattiller_base::time::Moment;
 use kumquattiller_routing::load::Load;
@@ -19,7 +20,7 @@
     /// A runner process reports and looks at what waits.
     Heartbeat { runner: usize },
     /// A report reaches an entry daemon.
-    Report { daemon: usize, runner: usize, load: Load },
+    Report { daemon: usize, runner: usize, load: Load, evicted: Rc<[u64]>, gap: bool },
     /// A request's deadline passes.
     Expire { job: usize },
     /// An engine dies.
--- a/crates/experiment/src/world/long.rs
+++ b/crates/experiment/src/world/long.rs
@@ -188,7 +188,7 @@
         let task = Task {
             job,
             priority: work.band().priority(),
-            prompt: Tokens::new(work.prompt.get().div_ceil(parts.len() as u64)),
+            prompt: segment_tokens(work.prompt, parts, segment),
             answer: if is_last { work.answer } else { Tokens::new(1) },
             footprint: Tokens::ZERO,
             session: u64::MAX,
@@ -218,3 +218,10 @@
         self.sites.iter().position(|s| s.id == *runner).expect("a known id")
     }
 }
+
+/// Returns the prompt tokens of a segment; the last one has what the others leave.
+fn segment_tokens(prompt: Tokens, parts: &[Part], segment: usize) -> Tokens {
+    let before = parts[..segment].iter().fold(Tokens::ZERO, |s, p| s.saturating_add(p.tokens));
+    let left = prompt.saturating_sub(before).max(Tokens::new(1));
+    if segment + 1 == parts.len() { left } else { left.min(parts[segment].tokens) }
+}
--- a/crates/experiment/src/world/mod.rs
+++ b/crates/experiment/src/world/mod.rs
@@ -151,9 +151,14 @@
             }
             Event::Step { runner, life } => self.step(runner, life),
             Event::Heartbeat { runner } => self.heartbeat(runner),
-            Event::Report { daemon, runner, load } => {
-                let id = self.sites[runner].id.clone();
-                self.entries[daemon].table.report(&id, load, self.now);
+            Event::Report { daemon, runner, load, evicted, gap } => {
+                let id = &self.sites[runner].id;
+                let entry = &mut self.entries[daemon];
+                entry.table.report(id, load, self.now);
+                entry.router.prefixes_mut().evicted(id, &evicted);
+                if gap {
+                    entry.router.prefixes_mut().gap(id);
+                }
             }
             Event::Expire { job } => self.expire(job),
             Event::Die { runner } => self.die(runner),
--- a/crates/experiment/src/world/runners.rs
+++ b/crates/experiment/src/world/runners.rs
@@ -1,11 +1,13 @@
 //! Runner processes and engines in a run.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use kumquattiller_base::request::Id;
 use kumquattiller_routing::admission::Action;
 use kumquattiller_routing::admission::Item;
 use kumquattiller_routing::admission::Verdict;
+use rand::RngExt;
 
 use crate::engine::Task;
 use crate::workload;
@@ -184,9 +186,13 @@
             self.apply(runner, actions);
         }
         let load = self.sites[runner].load(self.policy.has_gate());
+        let is_lost = self.rng.random::<f64>() < self.model.lost_event_share;
+        let evicted = self.sites[runner].engine.take_evicted();
+        let evicted = Rc::from(if is_lost { Vec::new() } else { evicted });
         for daemon in 0..self.entries.len() {
             let at = self.now + self.latency(daemon, runner);
-            self.schedule(at, Event::Report { daemon, runner, load });
+            let evicted = Rc::clone(&evicted);
+            self.schedule(at, Event::Report { daemon, runner, load, evicted, gap: is_lost });
         }
     }
 
@@ -228,6 +234,7 @@
         let id = self.sites[runner].id.clone();
         for entry in &mut self.entries {
             entry.table.set_reachable(&id, reachable);
+            entry.router.prefixes_mut().gap(&id);
         }
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod long;
 pub mod pace;
 pub mod policy;
+pub mod prefix;
 pub mod request;
 pub mod router;
 pub mod table;
--- a/crates/routing/src/long/plan.rs
+++ b/crates/routing/src/long/plan.rs
@@ -14,6 +14,9 @@
 /// Share of an engine's memory that is kept for short prompts, as a divisor.
 const SHORT_RESERVE_SHARE: u64 = 12;
 
+/// Smallest part, so that whichever engine comes last has room for the answer.
+const MIN_PART: Tokens = Tokens::new(16_384);
+
 /// A part of a prompt and the engine that it is meant for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Part {
@@ -98,15 +101,15 @@
     set.iter().map(|r| r.free()).min().unwrap_or_default()
 }
 
-/// Divides the footprint by the engines' sizes, in the order of the ids.
+/// Divides the footprint, filling one engine after the other, and orders the parts by id.
 fn parts(set: &[&Runner], footprint: Tokens) -> Vec<Part> {
-    let total = room(set).get().max(1);
-    let share = |r: &&Runner| {
-        let part = u128::from(footprint.get()) * u128::from(usable(r).get());
-        Tokens::new(part.div_ceil(u128::from(total)) as u64)
-    };
-    let part = |r: &&Runner| Part { runner: r.id.clone(), tokens: share(r) };
-    let mut parts: Vec<Part> = set.iter().map(part).collect();
+    let mut left = footprint;
+    let mut parts = Vec::with_capacity(set.len());
+    for runner in set {
+        let tokens = usable(runner).min(left);
+        left = left.saturating_sub(tokens);
+        parts.push(Part { runner: runner.id.clone(), tokens: tokens.max(MIN_PART) });
+    }
     parts.sort_by(|a, b| a.runner.cmp(&b.runner));
     parts
 }
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -28,6 +28,9 @@
     /// The lowest estimated cost, with engines set aside for long prompts.
     #[strum(serialize = "kumquattiller_v2")]
     KumquattillerV2,
+    /// As the second version, with prompts drawn to cached prefixes.
+    #[strum(serialize = "kumquattiller_v3")]
+    KumquattillerV3,
     /// The present best.
     #[default]
     Kumquattiller,
@@ -36,6 +39,6 @@
 impl Policy {
     /// Tells whether runner processes hold, order and refuse requests under this policy.
     pub const fn has_gate(self) -> bool {
-        matches!(self, Self::KumquattillerV1 | Self::KumquattillerV2 | Self::Kumquattiller)
+        !matches!(self, Self::RoundRobin | Self::LeastOutstanding | Self::TwoChoices)
     }
 }
--- a/crates/routing/src/router/cost.rs
+++ b/crates/routing/src/router/cost.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use kumquattiller_base::size::Tokens;
 use rand::Rng;
 use rand::RngExt;
 
@@ -44,20 +45,25 @@
     request: &Request<'_>,
     pace: &Pace,
     weights: &Weights,
+    prefix: Option<(usize, Tokens)>,
     rng: &mut R,
 ) -> Option<Choice> {
     let count = table.len();
     if count == 0 {
         return None;
     }
+    let cached = |slot| prefix.filter(|&(s, _)| s == slot).map_or(Tokens::ZERO, |(_, t)| t);
     let start = rng.random_range(0..count);
     let (cost, slot) = (0..count)
         .map(|step| (start + step) % count)
         .filter(|&slot| is_candidate(&table.runners()[slot], request))
-        .map(|slot| (of(&table.runners()[slot], request, pace, weights), slot))
+        .map(|slot| (of(&table.runners()[slot], request, pace, weights, cached(slot)), slot))
         .min_by_key(|&(cost, _)| cost)?;
     let runner = &table.runners()[slot];
-    let reason = if is_borrowed(runner, request, weights) {
+    let cached = cached(slot);
+    let reason = if cached > Tokens::ZERO {
+        Reason::Prefix { cached }
+    } else if is_borrowed(runner, request, weights) {
         Reason::Borrowed { cost, cutoff: weights.division.cutoff }
     } else {
         Reason::LowestCost { cost, distance: runner.distance }
@@ -71,11 +77,14 @@
     request: &Request<'_>,
     pace: &Pace,
     weights: &Weights,
+    cached: Tokens,
 ) -> Duration {
+    let computed = request.prompt.saturating_sub(cached);
     memory_wait(runner, request)
         + prefill_wait(runner, request, pace)
         + suffered(runner, request, pace)
-        + caused(runner, request, pace).mul_f64(weights.caused)
+        + pace.prefill_time(computed)
+        + caused(runner, computed, pace).mul_f64(weights.caused)
         + toll(runner, request, pace, weights)
         + distance_cost(runner.distance)
 }
@@ -105,8 +114,8 @@
 }
 
 /// Returns how long this prompt slows the answers of others, summed up over them.
-fn caused(runner: &Runner, request: &Request<'_>, pace: &Pace) -> Duration {
-    pace.prefill_time(request.prompt) * runner.requests()
+fn caused(runner: &Runner, computed: Tokens, pace: &Pace) -> Duration {
+    pace.prefill_time(computed) * runner.requests()
 }
 
 /// Tells whether the runner is set aside for the other side of the cut-off.
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -15,6 +15,7 @@
 use crate::interval::Meter;
 use crate::pace::Pace;
 use crate::policy::Policy;
+use crate::prefix::Index;
 use crate::request::Request;
 use crate::router::cost::Weights;
 use crate::table::Runner;
@@ -42,6 +43,7 @@
     pace: Pace,
     turn: usize,
     meter: Meter,
+    prefixes: Index,
 }
 
 /// Why no runner was picked.
@@ -56,7 +58,7 @@
 impl Router {
     /// Makes a router.
     pub fn new(policy: Policy, pace: Pace) -> Self {
-        Self { policy, pace, turn: 0, meter: Meter::default() }
+        Self { policy, pace, turn: 0, meter: Meter::default(), prefixes: Index::default() }
     }
 
     /// Returns the policy.
@@ -64,6 +66,11 @@
         self.policy
     }
 
+    /// Returns the index of cached prefixes, for reports of evictions and gaps.
+    pub const fn prefixes_mut(&mut self) -> &mut Index {
+        &mut self.prefixes
+    }
+
     /// Returns the present division of a table's engines by prompt size.
     pub fn division(&self, table: &Table) -> Division {
         self.meter.division(table.len())
@@ -85,10 +92,15 @@
             Policy::RoundRobin => self.by_turn(table, request),
             Policy::LeastOutstanding => baseline::least_outstanding(table, request, rng),
             Policy::TwoChoices => baseline::two_choices(table, request, rng),
-            Policy::KumquattillerV1 | Policy::KumquattillerV2 | Policy::Kumquattiller => {
+            _ => {
                 self.observe(table, request, now);
                 let weights = self.weights(table.len());
-                cost::lowest(table, request, &self.pace, &weights, rng)
+                let prefix = self.prefix(table, request);
+                let choice = cost::lowest(table, request, &self.pace, &weights, prefix, rng);
+                if let Some(choice) = &choice {
+                    self.prefixes.learn(&choice.runner, request.blocks);
+                }
+                choice
             }
         };
         choice.ok_or(Refusal { kind: Kind::NoRunner, retry_after: NO_RUNNER_RETRY_AFTER })
@@ -105,6 +117,15 @@
         self.meter.observe(request.prompt, memory, now);
     }
 
+    /// Returns the slot believed to have most of the prompt cached, and the tokens.
+    fn prefix(&self, table: &Table, request: &Request<'_>) -> Option<(usize, Tokens)> {
+        if matches!(self.policy, Policy::KumquattillerV1 | Policy::KumquattillerV2) {
+            return None;
+        }
+        let (runner, tokens) = self.prefixes.holder(request.blocks)?;
+        Some((table.slot(runner)?, tokens.min(request.prompt)))
+    }
+
     fn weights(&self, engines: usize) -> Weights {
         let undivided = Division { long_engines: 0, cutoff: Tokens::MAX };
         match self.policy {
--- a/crates/routing/src/table/mod.rs
+++ b/crates/routing/src/table/mod.rs
@@ -83,6 +83,11 @@
         self.slots.get(id).map(|&slot| &self.runners[slot])
     }
 
+    /// Returns the place of a runner in [`Table::runners`].
+    pub fn slot(&self, id: &Id) -> Option<usize> {
+        self.slots.get(id).copied()
+    }
+
     /// Returns the runners.
     pub fn runners(&self) -> &[Runner] {
         &self.runners
--- a/xtask/src/experiment.rs
+++ b/xtask/src/experiment.rs
@@ -44,6 +44,9 @@
     if let Some(seconds) = args.opt_value_from_str("--stale")? {
         options.model.report_interval = Duration::try_from_secs_f64(seconds)?;
     }
+    if let Some(share) = args.opt_value_from_str("--gaps")? {
+        options.model.lost_event_share = share;
+    }
     if let Some(seconds) = args.opt_value_from_str("--deaths")? {
         options.model.death_interval = Some(Duration::try_from_secs_f64(seconds)?);
     }
