routing: gates count waiting requests of the same band, and prompts ahead

A gate refused prompts over 100k under overload, since it counted every waiting prompt of a lower band ahead of them although an aged one overtakes those.

--- a/crates/routing/src/admission/gate.rs
+++ b/crates/routing/src/admission/gate.rs
@@ -75,7 +75,7 @@
             return refuse(Kind::MemoryFull, MAX_RETRY_AFTER);
         }
         if self.admits(&item) && !self.is_reserved_for_others(&item, now) {
-            return match order::slack(&item, &self.limits, now) {
+            return match self.slack(&item, now) {
                 Duration::ZERO => refuse(Kind::Overloaded, MIN_RETRY_AFTER),
                 _ => Verdict::Admit { priority: self.start(item, now) },
             };
@@ -172,7 +172,7 @@
 
     /// Holds a request, or refuses it when it could not end in time.
     fn hold(&mut self, item: Item, now: Moment) -> Verdict {
-        let slack = order::slack(&item, &self.limits, now);
+        let slack = self.slack(&item, now);
         let wait = self.expected_wait(&item, now);
         if wait.is_none_or(|wait| wait > slack) || self.waiting.len() >= self.limits.max_waiting {
             let over = wait.map_or(MAX_RETRY_AFTER, |wait| wait.saturating_sub(slack));
@@ -182,9 +182,22 @@
         Verdict::Hold
     }
 
+    /// Returns how long a request may wait for memory and still end in time, after the prompts
+    /// that the engine computes before it.
+    fn slack(&self, item: &Item, now: Moment) -> Duration {
+        let ahead = match item.band() {
+            Band::UpTo8k => self.backlog.saturating_sub(self.long_backlog),
+            _ => self.backlog,
+        };
+        let ahead = if item.is_reservation { Tokens::ZERO } else { ahead };
+        let prefill = self.limits.pace.prefill_time(ahead) * 2;
+        order::slack(item, &self.limits, now).saturating_sub(prefill)
+    }
+
     /// Returns the expected wait for memory and for the prompts ahead.
     fn expected_wait(&self, item: &Item, now: Moment) -> Option<Duration> {
-        let ahead = self.waiting.iter().map(|w| w.item).filter(|w| w.band() <= item.band());
+        let is_ahead = |w: &&Waiting| w.is_aged(now) || w.item.band() == item.band();
+        let ahead = self.waiting.iter().filter(is_ahead).map(|w| w.item);
         let wanted = ahead.clone().fold(item.footprint(), |s, w| s.saturating_add(w.footprint()));
         let prompts = ahead.fold(self.backlog, |s, w| s.saturating_add(w.prompt));
         let free = self.room_for(item.band()).saturating_sub(self.held);
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -25,7 +25,7 @@
 const NO_RUNNER_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Share of the delay caused to others that counts.
-const CAUSED_SHARE: f64 = 0.25;
+const CAUSED_SHARE: f64 = 0.4;
 
 /// Share of the delay caused to others that counts in the first version.
 const CAUSED_SHARE_V1: f64 = 0.125;
