--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod model;
 pub mod options;
 pub mod report;
+pub mod sensitivity;
 pub mod suite;
+pub mod summary;
 pub mod workload;
 pub mod world;
--- a/xtask/src/experiment.rs
+++ b/xtask/src/experiment.rs
@@ -5,33 +5,55 @@
 
 use kumquattiller_experiment::figures::Line;
 use kumquattiller_experiment::options::Options;
+use kumquattiller_experiment::report;
+use kumquattiller_experiment::sensitivity;
 use kumquattiller_experiment::suite;
+use kumquattiller_experiment::summary;
 
 use crate::Outcome;
 
+const USAGE: &str = "\
+usage: cargo xtask experiment [options]
+
+  --deployment NAME   bayanihan or addis_ketema (repeatable)
+  --policy NAME       round_robin, least_outstanding, two_choices, kumquattiller_v1, … (repeatable)
+  --load SHARE        share of the capacity (repeatable)
+  --seed NUMBER       seed of the workload and the decisions (repeatable)
+  --stale SECONDS     time between load reports
+  --gaps SHARE        share of the cache reports that are lost
+  --deaths SECONDS    mean time between deaths of one engine
+  --json              one JSON object per line, instead of a table over the seeds
+  --report DIR        also write plots and a page
+  --sensitivity       halve and double each parameter of the time model at load 0.8
+";
+
 /// Runs the suite that the options name.
 ///
 /// # Errors
 ///
 /// Fails when an option is not valid or the report cannot be written.
 pub fn exec(mut args: pico_args::Arguments) -> Outcome {
+    if args.contains("--help") {
+        print!("{USAGE}");
+        return Ok(());
+    }
     let is_json = args.contains("--json");
-    let report: Option<PathBuf> = args.opt_value_from_str("--report")?;
+    let is_sensitivity = args.contains("--sensitivity");
+    let folder: Option<PathBuf> = args.opt_value_from_str("--report")?;
     let options = options(&mut args)?;
     let rest = args.finish();
     if !rest.is_empty() {
-        return Err(format!("unknown arguments: {rest:?}").into());
+        return Err(format!("unknown arguments: {rest:?}\n{USAGE}").into());
+    }
+    if is_sensitivity {
+        print!("{}", summary::table(&sensitivity::COLUMNS, &sensitivity::run(&options)));
+        return Ok(());
     }
     let lines = suite::run(&options);
-    if is_json {
-        for line in &lines {
-            println!("{}", serde_json::to_string(line)?);
-        }
-    } else {
-        print_table(&lines);
+    if let Some(folder) = folder {
+        report::write(&folder, &lines)?;
     }
-    let _ = report;
-    Ok(())
+    print(&lines, is_json)
 }
 
 /// Reads the options; a repeatable one that is absent keeps its default.
@@ -59,42 +81,15 @@
     }
 }
 
-/// Prints one row for each line.
-fn print_table(lines: &[Line]) {
-    println!(
-        "{:12} {:18} {:>4} {:>4} {:>10} {:>8} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6} {:>6} {:>5}",
-        "deployment",
-        "policy",
-        "load",
-        "seed",
-        "band",
-        "ttft50",
-        "ttft95",
-        "slow50",
-        "slow95",
-        "gap95",
-        "done",
-        "refuse",
-        "late",
-        "hit"
-    );
-    for line in lines {
-        println!(
-            "{:12} {:18} {:>4} {:>4} {:>10} {:>8.3} {:>8.3} {:>8.3} {:>8.3} {:>6.3} {:>6} {:>6} {:>6} {:>5.2}",
-            line.deployment,
-            line.policy,
-            line.load,
-            line.seed,
-            line.prompt_band,
-            line.ttft_p50_s,
-            line.ttft_p95_s,
-            line.slowdown_p50,
-            line.slowdown_p95,
-            line.tokens_gap_p95_s,
-            line.done,
-            line.refused,
-            line.late,
-            line.cache_hit_share
-        );
+fn print(lines: &[Line], is_json: bool) -> Outcome {
+    if is_json {
+        for line in lines {
+            println!("{}", serde_json::to_string(line)?);
+        }
+        return Ok(());
     }
+    let rows: Vec<Vec<String>> =
+        summary::summaries(lines).iter().map(|(k, s)| summary::row(k, s)).collect();
+    print!("{}", summary::table(&summary::COLUMNS, &rows));
+    Ok(())
 }
