--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 //! in, decisions come out. Random numbers come from the generator that the caller passes. Each
 //! choice carries its [`choice::Reason`] for `kumquattiller explain`.
 
+pub mod account;
 pub mod admission;
 pub mod band;
 pub mod choice;
@@ -28,4 +29,5 @@
 pub mod prefix;
 pub mod request;
 pub mod router;
+pub mod subset;
 pub mod table;
