--- a/crates/routing/src/long/plan.rs
+++ b/crates/routing/src/long/plan.rs
@@ -4,13 +4,11 @@
 use kumquattiller_base::place::Zone;
 use kumquattiller_base::runner::Id;
 use kumquattiller_base::size::Tokens;
+use strum::IntoEnumIterator;
 
 use crate::table::Runner;
 use crate::table::Table;
 
-/// Share of an engine's memory that one part takes while the zone has enough engines, as a divisor.
-const PART_SHARE: u64 = 1;
-
 /// Share of an engine's memory that is kept for short prompts, as a divisor.
 const SHORT_RESERVE_SHARE: u64 = 12;
 
@@ -41,10 +39,21 @@
 
 impl std::error::Error for TooLarge {}
 
+/// How much of each engine parts may take; earlier ones are preferred.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::EnumIter)]
+enum Fill {
+    /// What is free now on engines set aside for long prompts.
+    FreeAside,
+    /// All of these engines.
+    AllAside,
+    /// All of any engine.
+    All,
+}
+
 /// Picks a set of engines for `footprint`, in the order in which to reserve them.
 ///
-/// Takes engines that are set aside for long prompts first; see [`crate::interval`]. Takes the
-/// zone whose engines have the most free memory for it.
+/// Takes what is free on engines set aside for long prompts, see [`crate::interval`], if that is
+/// enough; else fills these engines first and others with the rest.
 ///
 /// # Errors
 ///
@@ -60,56 +69,79 @@
     for runner in open {
         zones.entry(&runner.zone).or_default().push(runner);
     }
-    let limit = zones.values().map(|runners| room(runners)).max().unwrap_or_default();
-    let sets = zones.into_values().filter(|runners| room(runners) >= footprint);
-    let best = sets
-        .map(|runners| choose(runners, footprint, long_engines))
-        .max_by_key(|set| (Reverse(outside(set, long_engines)), spare(set)));
-    let set = best.ok_or(TooLarge { limit })?;
-    Ok(parts(&set, footprint))
-}
-
-/// Returns the memory that the idle engines of a zone could reserve.
-fn room(runners: &[&Runner]) -> Tokens {
-    runners.iter().fold(Tokens::ZERO, |sum, r| sum.saturating_add(usable(r)))
+    for runners in zones.values_mut() {
+        runners.sort_by_key(|r| (r.rank >= long_engines, Reverse(r.free()), r.hash));
+    }
+    for fill in Fill::iter() {
+        let room = |r: &Runner| room(r, fill, long_engines);
+        let sets = zones.values().filter_map(|runners| take(runners, footprint, room));
+        if let Some(set) = sets.min_by_key(|set| (outside(set, long_engines), wait(set))) {
+            return Ok(parts(&set));
+        }
+    }
+    let total = |runners: &Vec<&Runner>| {
+        runners.iter().fold(Tokens::ZERO, |sum, r| sum.saturating_add(usable(r)))
+    };
+    Err(TooLarge { limit: zones.values().map(total).max().unwrap_or_default() })
 }
 
+/// Returns the memory of an idle engine that prompts over 8,000 tokens may take.
 fn usable(runner: &Runner) -> Tokens {
     let capacity = runner.load.capacity;
     capacity.saturating_sub(Tokens::new(capacity.get() / SHORT_RESERVE_SHARE))
 }
 
-/// Takes the engines with the most free memory until half of each holds the footprint, or all of
-/// each when the zone is too small for that.
-fn choose(mut runners: Vec<&Runner>, footprint: Tokens, long_engines: usize) -> Vec<&Runner> {
-    runners.sort_by_key(|r| (r.rank >= long_engines, Reverse(r.free()), r.hash));
-    let largest = runners.iter().map(|r| usable(r).get()).max().unwrap_or(1);
-    let wanted = footprint.get().div_ceil((largest / PART_SHARE).max(1)) as usize;
-    let enough = (1..=runners.len()).find(|&n| room(&runners[..n]) >= footprint);
-    let count = wanted.max(enough.unwrap_or(runners.len())).min(runners.len());
-    runners.truncate(count);
-    runners
+/// Returns the memory that a part may take on an engine.
+fn room(runner: &Runner, fill: Fill, long_engines: usize) -> Tokens {
+    let usable = usable(runner);
+    let is_aside = runner.rank < long_engines;
+    match fill {
+        Fill::FreeAside if is_aside => {
+            let reserve = runner.load.capacity.saturating_sub(usable);
+            runner.free().saturating_sub(reserve)
+        }
+        Fill::AllAside if is_aside => usable,
+        Fill::FreeAside | Fill::AllAside => Tokens::ZERO,
+        Fill::All => usable,
+    }
 }
 
-/// Returns the number of engines that are not set aside for long prompts.
-fn outside(set: &[&Runner], long_engines: usize) -> usize {
-    set.iter().filter(|r| r.rank >= long_engines).count()
+/// Fills one engine after the other until the footprint is placed, or returns `None`.
+fn take<'a>(
+    runners: &[&'a Runner],
+    footprint: Tokens,
+    room: impl Fn(&Runner) -> Tokens,
+) -> Option<Vec<(&'a Runner, Tokens)>> {
+    let mut left = footprint;
+    let mut set = Vec::new();
+    for &runner in runners {
+        let room = room(runner);
+        if left == Tokens::ZERO || room < MIN_PART {
+            continue;
+        }
+        let tokens = room.min(left);
+        left = left.saturating_sub(tokens);
+        set.push((runner, tokens.max(MIN_PART)));
+    }
+    (left == Tokens::ZERO).then_some(set)
 }
 
-/// Returns the least free memory among the engines of a set.
-fn spare(set: &[&Runner]) -> Tokens {
-    set.iter().map(|r| r.free()).min().unwrap_or_default()
+/// Returns the tokens placed on engines that are not set aside for long prompts.
+fn outside(set: &[(&Runner, Tokens)], long_engines: usize) -> Tokens {
+    let outside = set.iter().filter(|(r, _)| r.rank >= long_engines);
+    outside.fold(Tokens::ZERO, |sum, (_, tokens)| sum.saturating_add(*tokens))
 }
 
-/// Divides the footprint, filling one engine after the other, and orders the parts by id.
-fn parts(set: &[&Runner], footprint: Tokens) -> Vec<Part> {
-    let mut left = footprint;
-    let mut parts = Vec::with_capacity(set.len());
-    for runner in set {
-        let tokens = usable(runner).min(left);
-        left = left.saturating_sub(tokens);
-        parts.push(Part { runner: runner.id.clone(), tokens: tokens.max(MIN_PART) });
-    }
+/// Returns the memory that has to become free first.
+fn wait(set: &[(&Runner, Tokens)]) -> Tokens {
+    let lacking = set.iter().map(|(r, tokens)| tokens.saturating_sub(r.free()));
+    lacking.fold(Tokens::ZERO, Tokens::saturating_add)
+}
+
+/// Orders the parts by the ids of their runners.
+fn parts(set: &[(&Runner, Tokens)]) -> Vec<Part> {
+    let part = |(r, tokens): &(&Runner, Tokens)| Part { runner: r.id.clone(), tokens: *tokens };
+    let mut parts: Vec<Part> = set.iter().map(part).collect();
     parts.sort_by(|a, b| a.runner.cmp(&b.runner));
     parts
 }
