--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -9,6 +9,7 @@
 
 mod caller;
 mod demo;
+mod experiment;
 mod fleet;
 mod generate;
 mod lint;
@@ -27,6 +28,7 @@
 usage: cargo xtask <chore>
 
   demo                 start everything, send requests, stop everything
+  experiment           measure the routing decisions; see docs/MEASUREMENTS.md
   generate [--check]   write the link types, or check that the committed ones are fresh
   lint                 check imports, file sizes and places of tests
   load                 send a mix of requests to running entry daemons
@@ -39,6 +41,7 @@
     let mut args = pico_args::Arguments::from_env();
     let outcome = match args.subcommand().ok().flatten().as_deref() {
         Some("demo") => demo::exec(args),
+        Some("experiment") => experiment::exec(args),
         Some("generate") => generate::exec(args),
         Some("lint") => lint::exec(args),
         Some("load") => load::exec(args),
