tests: pairs of faults under load, all promises checked together

Ruled out: the same over pure state machines alone, since the driver and the links, where promises meet, would be left out; the verdict rests on promises that hold at any timing, so real processes give the same one each time.

--- a/crates/support/src/fleet/entry.rs
+++ b/crates/support/src/fleet/entry.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use crate::fleet::Binaries;
+use crate::fleet::STOP_LIMIT;
 use crate::program::Program;
 
 /// An entry daemon of a fleet.
@@ -21,6 +22,15 @@
 }
 
 impl Entry {
+    /// Waits for the end of a process that was asked to stop.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not end in time.
+    pub async fn stopped(&mut self) {
+        self.program.exit_code(STOP_LIMIT).await;
+    }
+
     /// Starts the process again with the same settings.
     pub fn restart(&mut self, binaries: &Binaries) {
         self.program = start(binaries, &self.settings);
--- a/crates/support/src/fleet/mod.rs
+++ b/crates/support/src/fleet/mod.rs
@@ -23,6 +23,8 @@
 
 /// Longest wait for a fleet to serve.
 const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Longest wait for the graceful stop of a process.
+const STOP_LIMIT: Duration = Duration::from_secs(30);
 /// Model of the fleet's engines.
 pub const MODEL: &str = "hotline-7b";
 /// Service of the fleet's engines.
--- a/crates/support/src/fleet/runner.rs
+++ b/crates/support/src/fleet/runner.rs
@@ -6,6 +6,7 @@
 use kumquattiller_standins::service;
 
 use crate::fleet::Binaries;
+use crate::fleet::STOP_LIMIT;
 use crate::program::Program;
 use crate::relay::Relay;
 
@@ -34,6 +35,15 @@
 }
 
 impl Runner {
+    /// Waits for the end of a process that was asked to stop.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not end in time.
+    pub async fn stopped(&mut self) {
+        self.program.exit_code(STOP_LIMIT).await;
+    }
+
     /// Starts the process again with the same settings.
     pub fn restart(&mut self, binaries: &Binaries) {
         self.program = start(binaries, &self.settings);
--- a/crates/support/src/program.rs
+++ b/crates/support/src/program.rs
@@ -61,6 +61,11 @@
         self.signal("TERM");
     }
 
+    /// Tells whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Freezes the process (SIGSTOP).
     pub fn freeze(&self) {
         self.signal("STOP");
@@ -88,7 +93,10 @@
     }
 
     fn signal(&self, name: &str) {
-        let status = Command::new("kill").args(["-s", name, &self.id().to_string()]).status();
+        let Some(id) = self.child.id() else {
+            return;
+        };
+        let status = Command::new("kill").args(["-s", name, &id.to_string()]).status();
         assert!(status.is_ok_and(|s| s.success()), "signal {name} can be sent");
     }
 }
--- /dev/null
+++ b/tests/testsuite/combined/fault.rs
@@ -0,0 +1,95 @@
+use kumquattiller_support::fleet::Fleet;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+/// Answers of the store that are lost by one fault.
+const LOST_ANSWERS: u32 = 3;
+
+/// A fault and what it strikes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// An entry daemon is killed.
+    KillEntry(usize),
+    /// An entry daemon is frozen.
+    FreezeEntry(usize),
+    /// An entry daemon is asked to stop.
+    StopEntry(usize),
+    /// A runner process is killed.
+    KillRunner(usize),
+    /// A runner process is frozen.
+    FreezeRunner(usize),
+    /// A runner process is asked to stop.
+    StopRunner(usize),
+    /// An engine is killed.
+    KillEngine(usize),
+    /// The links to a runner are cut.
+    CutLink(usize),
+    /// The links to a runner are cut and refused.
+    CloseLink(usize),
+    /// The platform has an outage.
+    Outage,
+    /// Answers of the store are lost.
+    LoseAnswers,
+}
+
+impl Fault {
+    /// Draws a fault.
+    pub fn draw(rng: &mut ChaCha8Rng) -> Self {
+        let entry = rng.random_range(0..2);
+        let engine = rng.random_range(0..3);
+        let runner = rng.random_range(0..4);
+        match rng.random_range(0..11) {
+            0 => Self::KillEntry(entry),
+            1 => Self::FreezeEntry(entry),
+            2 => Self::StopEntry(entry),
+            3 => Self::KillRunner(runner),
+            4 => Self::FreezeRunner(runner),
+            5 => Self::StopRunner(runner),
+            6 => Self::KillEngine(engine),
+            7 => Self::CutLink(runner),
+            8 => Self::CloseLink(runner),
+            9 => Self::Outage,
+            _ => Self::LoseAnswers,
+        }
+    }
+
+    /// Lets the fault happen.
+    pub async fn begin(self, fleet: &mut Fleet) {
+        match self {
+            Self::KillEntry(index) => fleet.entries[index].program.kill().await,
+            Self::FreezeEntry(index) => fleet.entries[index].program.freeze(),
+            Self::StopEntry(index) => fleet.entries[index].program.terminate(),
+            Self::KillRunner(index) => fleet.runners[index].program.kill().await,
+            Self::FreezeRunner(index) => fleet.runners[index].program.freeze(),
+            Self::StopRunner(index) => fleet.runners[index].program.terminate(),
+            Self::KillEngine(index) => fleet.engine(index).kill(),
+            Self::CutLink(index) => fleet.runners[index].relay.cut(),
+            Self::CloseLink(index) => fleet.runners[index].relay.close(),
+            Self::Outage => fleet.platform.set_outage(true),
+            Self::LoseAnswers => fleet.platform.lose_answers(LOST_ANSWERS),
+        }
+    }
+
+    /// Ends the fault: what was killed, stopped or frozen comes back.
+    pub async fn end(self, fleet: &mut Fleet) {
+        let binaries = fleet.binaries.clone();
+        match self {
+            Self::KillEntry(index) => fleet.entries[index].restart(&binaries),
+            Self::FreezeEntry(index) => fleet.entries[index].program.thaw(),
+            Self::StopEntry(index) => {
+                fleet.entries[index].stopped().await;
+                fleet.entries[index].restart(&binaries);
+            }
+            Self::KillRunner(index) => fleet.runners[index].restart(&binaries),
+            Self::FreezeRunner(index) => fleet.runners[index].program.thaw(),
+            Self::StopRunner(index) => {
+                fleet.runners[index].stopped().await;
+                fleet.runners[index].restart(&binaries);
+            }
+            Self::KillEngine(index) => fleet.engine(index).restart(),
+            Self::CloseLink(index) => fleet.runners[index].relay.open(),
+            Self::Outage => fleet.platform.set_outage(false),
+            Self::CutLink(_) | Self::LoseAnswers => {}
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the real programs against stand-ins, a module for each topic.
 
 mod api_page;
+mod combined;
 mod command;
 mod path;
 mod settings;
