--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,11 +17,17 @@
 //! in, decisions come out. Random numbers come from the generator that the caller passes. Each
 //! choice carries its [`choice::Reason`] for `kumquattiller explain`.
 
+pub mod account;
+pub mod admission;
 pub mod band;
 pub mod choice;
+pub mod interval;
 pub mod load;
+pub mod long;
 pub mod pace;
 pub mod policy;
+pub mod prefix;
 pub mod request;
 pub mod router;
+pub mod subset;
 pub mod table;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod api_page;
 mod claims;
+mod combined;
 mod command;
 mod crashing;
 mod path;
