--- /dev/null
+++ b/tests/testsuite/sessions.rs
@@ -0,0 +1,131 @@
+//! Golden files of whole sessions: what a caller sends and gets, line by line.
+
+use std::fmt::Write;
+
+use kumquattiller_support::caller::Caller;
+use kumquattiller_support::fleet::Fleet;
+use kumquattiller_support::fleet::MODEL;
+use reqwest::RequestBuilder;
+use serde_json::Value;
+
+use crate::support::fleet;
+
+/// Headers of answers that are part of a session.
+const SHOWN_HEADERS: [&str; 3] = ["content-type", "retry-after", "x-request-id"];
+
+/// The record of a session.
+#[derive(Debug, Default)]
+struct Session {
+    text: String,
+    last_event: String,
+}
+
+impl Session {
+    /// Notes what the caller does.
+    fn step(&mut self, what: &str) {
+        let _ = writeln!(self.text, "> {what}");
+    }
+
+    /// Sends a request and notes the whole answer, or its first `events` events.
+    async fn send(&mut self, request: RequestBuilder, events: Option<usize>) {
+        let mut response = request.send().await.expect("an answer");
+        let _ = writeln!(self.text, "< {}", response.status());
+        for name in SHOWN_HEADERS {
+            if let Some(value) = response.headers().get(name) {
+                let value = value.to_str().expect("text").to_owned();
+                let _ = writeln!(self.text, "< {name}: {value}");
+            }
+        }
+        let mut body = String::new();
+        while let Ok(Some(bytes)) = response.chunk().await {
+            body.push_str(&String::from_utf8_lossy(&bytes));
+            if events.is_some_and(|count| body.matches("\n\n").count() >= count) {
+                break;
+            }
+        }
+        self.note_body(&body, events);
+    }
+
+    /// Notes a body, cut after some events.
+    fn note_body(&mut self, body: &str, events: Option<usize>) {
+        let parts = body.split("\n\n").take(events.unwrap_or(usize::MAX));
+        for part in parts.filter(|part| !part.is_empty()) {
+            for line in part.lines() {
+                if let Some(id) = line.strip_prefix("id: ").or(line.strip_prefix("id:")) {
+                    id.trim().clone_into(&mut self.last_event);
+                }
+                let _ = writeln!(self.text, "< {line}");
+            }
+            let _ = writeln!(self.text);
+        }
+    }
+
+    /// Returns the record with ids and incarnations replaced, as they differ from run to run.
+    fn finish(self) -> String {
+        let mut text = self.text;
+        let parts: Vec<&str> = self.last_event.split('/').collect();
+        if let [runner, incarnation, request, ..] = parts.as_slice() {
+            text = text.replace(incarnation, "INCARNATION").replace(request, "REQUEST");
+            text = text.replace(&format!("{runner}/"), "RUNNER/");
+        }
+        replace_request(text)
+    }
+}
+
+/// Replaces the id of a request that had no event.
+fn replace_request(text: String) -> String {
+    let field = text.lines().find_map(|line| {
+        let body: Value = serde_json::from_str(line.strip_prefix("< ")?).ok()?;
+        Some(body["error"]["request"].as_str()?.to_owned())
+    });
+    match field {
+        Some(id) => text.replace(&id, "REQUEST"),
+        None => text,
+    }
+}
+
+fn stream(fleet: &Fleet, entry: usize, prompt: &str, max_tokens: u64) -> RequestBuilder {
+    let body = Caller::completion(MODEL, prompt, max_tokens, true);
+    fleet.caller(entry).request("POST", "/v1/completions").json(&body)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streamed() {
+    let fleet = fleet().start().await;
+    let mut session = Session::default();
+    session.step("stream 3 tokens");
+    session.send(stream(&fleet, 0, "gas odour near the market", 3), None).await;
+    insta::assert_snapshot!(session.finish());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_after_an_entry_daemon_dies() {
+    let mut fleet = fleet().start().await;
+    let mut session = Session::default();
+    session.step("stream 5 tokens and read one event");
+    session.send(stream(&fleet, 0, "gas odour near the market", 5), Some(1)).await;
+    session.step("the entry daemon is killed");
+    fleet.entries[0].program.kill().await;
+    session.step("resume through the other entry daemon");
+    let request = fleet.caller(1).request("POST", "/v1/completions");
+    let last = session.last_event.clone();
+    session.send(request.header("Last-Event-ID", last), None).await;
+    insta::assert_snapshot!(session.finish());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused() {
+    let fleet = fleet().start().await;
+    let mut session = Session::default();
+    session.step("stream with a deadline that has passed");
+    let request = stream(&fleet, 0, "gas odour", 3).header("X-Deadline-Ms", "0");
+    session.send(request, None).await;
+    session.step("stream with the credential of nobody");
+    let nobody = Caller::new(fleet.entries[0].http, "nobody");
+    let body = Caller::completion(MODEL, "gas odour", 3, true);
+    session.send(nobody.request("POST", "/v1/completions").json(&body), None).await;
+    session.step("post without an Idempotency-Key");
+    let request = fleet.caller(0).request("POST", "/services/cases/dispatch").body("{}");
+    session.send(request, None).await;
+    insta::assert_snapshot!(session.finish());
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -14,6 +14,7 @@
 mod lint;
 mod load;
 mod overhead;
+mod readme;
 mod slopes;
 mod test;
 
@@ -31,6 +32,7 @@
   lint                 check imports, file sizes and places of tests
   load                 send a mix of requests to running entry daemons
   overhead             measure the path against calling a stand-in engine directly
+  readme               put the demo's output into the README
   slopes [--check]     measure what processes cost at rising sizes, or check the page's tables
   test                 run all tests but those in KNOWN-RED.txt, which are printed
 ";
@@ -43,6 +45,7 @@
         Some("lint") => lint::exec(args),
         Some("load") => load::exec(args),
         Some("overhead") => overhead::exec(args),
+        Some("readme") => readme::exec(args),
         Some("slopes") => slopes::exec(args),
         Some("test") => test::exec(args),
         _ => Err(USAGE.into()),
