--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -57,3 +57,14 @@
         }
     }
 }
+
+impl std::fmt::Display for Outcome {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Done { tokens } => write!(f, "done, {tokens}"),
+            Self::NotRun(refusal) => write!(f, "not run: {}", refusal.kind),
+            Self::Failed(kind) => write!(f, "failed: {kind}"),
+            Self::Unknown(kind) => write!(f, "unknown: {kind}"),
+        }
+    }
+}
--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -62,7 +62,7 @@
             self.request.deadline.left(self.daemon.now()).as_millis()
         ));
         let end = self.attempts().await;
-        self.note(&format!("ended: {:?}", end.outcome));
+        self.note(&format!("ended: {}", end.outcome));
         self.daemon.recorder().metrics().ended();
         self.daemon.recorder().metrics().outcome(&end.outcome);
         log::info!(
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,5 +3,6 @@
 mod api_page;
 mod command;
 mod path;
+mod sessions;
 mod settings;
 mod support;
--- a/tests/testsuite/sessions.rs
+++ b/tests/testsuite/sessions.rs
@@ -129,3 +129,24 @@
     session.send(request, None).await;
     insta::assert_snapshot!(session.finish());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_because_the_engine_dies() {
+    let fleet = fleet().engines(1).start().await;
+    let mut session = Session::default();
+    session.step("stream 500 tokens and read one event");
+    let begin = stream(&fleet, 0, "gas odour near the market", 500);
+    let mut answer = begin.send().await.expect("an answer");
+    let first = answer.chunk().await.expect("a stream").unwrap_or_default();
+    let first = String::from_utf8_lossy(&first).into_owned();
+    session.note_body(&first, Some(1));
+    session.step("the engine is killed; the last event is");
+    fleet.engine(0).kill();
+    let mut body = String::new();
+    while let Ok(Some(bytes)) = answer.chunk().await {
+        body.push_str(&String::from_utf8_lossy(&bytes));
+    }
+    let last = body.trim_end().rsplit("\n\n").next().unwrap_or_default();
+    session.note_body(last, None);
+    insta::assert_snapshot!(session.finish());
+}
--- a/xtask/src/demo/fleet.rs
+++ b/xtask/src/demo/fleet.rs
@@ -1,4 +1,3 @@
-use std::process::Command;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -51,7 +50,7 @@
     /// Fails when a process does not start or does not become ready.
     pub async fn start(programs: Programs) -> Result<Self, Failure> {
         let starter = Starter::new(programs, root().join(FOLDER))?;
-        let platform = starter.standin("platform", "platform", &json!({}))?;
+        let platform = starter.standin("platform", "platform", &[])?;
         println!("platform   {}", platform.url);
         let mut fleet = Self {
             entries: Vec::new(),
@@ -62,7 +61,7 @@
         };
         fleet.start_runners(&platform.url).await?;
         fleet.start_entries(&platform.url).await?;
-        fleet.apply(&platform.url)?;
+        fleet.apply(&platform.url).await?;
         fleet.standins.push(platform);
         fleet.wait_for_links().await?;
         Ok(fleet)
@@ -73,8 +72,8 @@
         for (index, (id, zone, kind)) in self.inventory.runners().into_iter().enumerate() {
             let name = format!("backend-{id}");
             let standin = match kind {
-                "plain" => self.starter.standin(&name, "service", &json!({}))?,
-                _ => self.starter.standin(&name, "engine", &self.engine_settings())?,
+                "plain" => self.starter.standin(&name, "service", &[])?,
+                _ => self.starter.standin(&name, "engine", &self.engine_options())?,
             };
             let backend = json!({"kind": kind, "url": standin.url, "memory": ENGINE_MEMORY});
             let member = self.starter.runner(&id, &zone, &backend, platform).await?;
@@ -99,17 +98,15 @@
         Ok(())
     }
 
-    /// Applies register and rules with the operators' command line.
-    fn apply(&self, platform: &str) -> Outcome {
-        let register = self.starter.write("register", self.inventory.register())?;
-        let rules = self.starter.write("rules", self.inventory.rules())?;
-        let program = self.starter.programs().path("kumquattiller");
-        println!("$ kumquattiller apply --register register.json --rules rules.json");
-        let status = Command::new(program)
-            .args(["apply", "--register", &register, "--rules", &rules])
-            .args(["--platform", platform])
-            .status()?;
-        if status.success() { Ok(()) } else { Err(format!("apply ended with {status}").into()) }
+    /// Writes register and rules to the platform as the first configuration.
+    async fn apply(&self, platform: &str) -> Outcome {
+        let configuration = json!({
+            "version": 1, "register": self.inventory.register(), "rules": self.inventory.rules()
+        });
+        let url = format!("{platform}/objects/configuration/current");
+        let request = reqwest::Client::new().put(url).header("If-None-Match", "*");
+        request.json(&configuration).send().await?.error_for_status()?;
+        Ok(())
     }
 
     /// Waits until every entry daemon is ready and has a link to every runner.
@@ -128,7 +125,12 @@
         Ok(())
     }
 
-    fn engine_settings(&self) -> serde_json::Value {
-        json!({"memory": ENGINE_MEMORY, "models": self.inventory.models()})
+    /// Returns the options of the stand-in engines: memory and the loaded models.
+    fn engine_options(&self) -> Vec<String> {
+        let mut options = vec!["--memory".to_owned(), ENGINE_MEMORY.to_string()];
+        for model in self.inventory.desired_models() {
+            options.extend(["--model".to_owned(), model]);
+        }
+        options
     }
 }
--- a/xtask/src/demo/inventory.rs
+++ b/xtask/src/demo/inventory.rs
@@ -63,6 +63,13 @@
         models.map(text).collect()
     }
 
+    /// Returns the models that engines are to have loaded, as `NAME@VERSION`.
+    pub fn desired_models(&self) -> Vec<String> {
+        let desired = self.rules["desired"].as_array().into_iter().flatten();
+        let models = desired.flat_map(|d| d["models"].as_array().into_iter().flatten());
+        models.map(|m| format!("{}@{}", text(&m["name"]), text(&m["version"]))).collect()
+    }
+
     /// Returns the name of the plain service.
     pub fn plain_service(&self) -> String {
         service(&self.register, "plain").unwrap_or_default()
--- a/xtask/src/demo/show.rs
+++ b/xtask/src/demo/show.rs
@@ -111,7 +111,7 @@
     fleet.entries[0].process.wait()?;
     println!("entry-1 ended with exit code 0 after {:.1} s", begin.elapsed().as_secs_f64());
     let count = all_others(fleet)?;
-    println!("{count} other processes ended with exit code 0");
+    println!("{count} other daemons and runner processes ended with exit code 0");
     Ok(())
 }
 
@@ -119,12 +119,12 @@
 fn all_others(fleet: &mut Fleet) -> Result<usize, Failure> {
     let entries = fleet.entries.iter_mut().skip(1).map(|m| &mut m.process);
     let runners = fleet.runners.iter_mut().map(|m| &mut m.process);
-    let standins = fleet.standins.iter_mut().map(|s| &mut s.process);
     let mut count = 0;
-    for process in entries.chain(runners).chain(standins) {
+    for process in entries.chain(runners) {
         process.terminate()?;
         process.wait()?;
         count += 1;
     }
+    fleet.standins.iter_mut().for_each(|standin| standin.process.end());
     Ok(count)
 }
--- a/xtask/src/fleet/process.rs
+++ b/xtask/src/fleet/process.rs
@@ -83,6 +83,12 @@
         Err(format!("{} did not stop within {STOP_TIMEOUT:?}", self.name).into())
     }
 
+    /// Ends the process and waits for it, whatever its exit code.
+    pub fn end(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     fn judge(&self, status: ExitStatus) -> Result<(), Failure> {
         if status.success() {
             return Ok(());
@@ -93,7 +99,6 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.end();
     }
 }
--- a/xtask/src/fleet/run.rs
+++ b/xtask/src/fleet/run.rs
@@ -12,8 +12,10 @@
 use crate::fleet::free_address;
 use crate::fleet::wait_until_ready;
 
-/// Longest wait for a stand-in to tell its URL.
-const URL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for a stand-in to tell its address.
+const ADDRESS_TIMEOUT: Duration = Duration::from_secs(10);
+/// Start of the line with a stand-in's address.
+const ADDRESS_PREFIX: &str = "listening on ";
 /// Pause between looks at a stand-in's output.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
 
@@ -81,23 +83,22 @@
         &self.programs
     }
 
-    /// Starts a stand-in: `engine`, `service` or `platform`.
+    /// Starts a stand-in: `engine`, `service` or `platform`, with options.
     ///
     /// # Errors
     ///
     /// Fails when it does not start.
-    pub fn standin(&self, name: &str, kind: &str, settings: &Value) -> Result<Standin, Failure> {
-        let own = std::env::current_exe()?;
-        let settings = settings.to_string();
-        let args = ["standin", kind, "--settings", &settings].map(ToOwned::to_owned);
-        let process = Process::start(name, &own, &args, &self.folder)?;
+    pub fn standin(&self, name: &str, kind: &str, options: &[String]) -> Result<Standin, Failure> {
+        let program = self.programs.path("kumquattiller-standins");
+        let args: Vec<String> = [kind.to_owned()].into_iter().chain(options.to_vec()).collect();
+        let process = Process::start(name, &program, &args, &self.folder)?;
         let log = self.folder.join(format!("{name}.log"));
         let begin = Instant::now();
-        while begin.elapsed() < URL_TIMEOUT {
+        while begin.elapsed() < ADDRESS_TIMEOUT {
             let text = std::fs::read_to_string(&log)?;
-            let url = text.split_inclusive('\n').find(|l| l.starts_with("http://"));
-            if let Some(url) = url.and_then(|l| l.strip_suffix('\n')) {
-                return Ok(Standin { process, url: url.to_owned() });
+            let line = text.split_inclusive('\n').find_map(|l| l.strip_prefix(ADDRESS_PREFIX));
+            if let Some(address) = line.and_then(|l| l.strip_suffix('\n')) {
+                return Ok(Standin { process, url: format!("http://{address}") });
             }
             std::thread::sleep(LOOK_PAUSE);
         }
--- a/xtask/src/overhead.rs
+++ b/xtask/src/overhead.rs
@@ -31,6 +31,8 @@
 const DEADLINE: Duration = Duration::from_secs(30);
 /// Engines and the runner processes beside them.
 const RUNNERS: usize = 6;
+/// Factor by which the engines run faster than their time model.
+const ENGINE_SPEED: u32 = 10;
 /// Tokens of each prompt.
 const PROMPT_TOKENS: u64 = 1_000;
 /// Tokens of each answer.
@@ -61,7 +63,8 @@
     let programs = build(true)?;
     tokio::runtime::Runtime::new()?.block_on(async {
         let size = Size { entries: 1, runners: RUNNERS, engines: RUNNERS, accounts: 10 };
-        let rig = Rig::start(&programs, size, &json!({"models": [MODEL]})).await?;
+        let engine = ["--speed".to_owned(), ENGINE_SPEED.to_string()];
+        let rig = Rig::start(&programs, size, &engine).await?;
         let ways = send(&rig, rate, duration).await?;
         print(&ways, rate);
         Ok(())
--- a/xtask/src/slopes/measure/accounts.rs
+++ b/xtask/src/slopes/measure/accounts.rs
@@ -1,5 +1,3 @@
-use serde_json::json;
-
 use crate::Failure;
 use crate::fleet::Programs;
 use crate::slopes::rig::Rig;
@@ -19,7 +17,7 @@
     let mut memory = Vec::new();
     for accounts in ACCOUNTS {
         let size = Size { entries: 1, runners: 4, engines: 1, accounts };
-        let rig = Rig::start(programs, size, &json!({})).await?;
+        let rig = Rig::start(programs, size, &[]).await?;
         let resident = usage::resident_bytes(rig.entries[0].process.id())?;
         memory.push((accounts as f64, resident));
     }
--- a/xtask/src/slopes/measure/daemons.rs
+++ b/xtask/src/slopes/measure/daemons.rs
@@ -1,6 +1,5 @@
 use std::time::Duration;
 
-use serde_json::json;
 use tokio::time::sleep;
 
 use crate::Failure;
@@ -21,15 +20,18 @@
 ///
 /// Fails when a process does not start.
 pub async fn measure(programs: &Programs) -> Result<Vec<Series>, Failure> {
-    let (mut memory, mut cores, mut control) = (vec![], vec![], vec![]);
+    let (mut memory, mut cores, mut control, mut reads) = (vec![], vec![], vec![], vec![]);
     for entries in ENTRIES {
         let size = Size { entries, runners: 8, engines: 1, accounts: 10 };
-        let rig = Rig::start(programs, size, &json!({})).await?;
+        let rig = Rig::start(programs, size, &[]).await?;
         let ids: Vec<u32> = rig.entries.iter().map(|e| e.process.id()).collect();
+        let reads_before = rig.store_reads().await?;
         let before = rig.entries[0].metric("kumquattiller_control_bytes").await?;
         let ((), used) = rig::over(&ids, sleep(IDLE)).await?;
         let after = rig.entries[0].metric("kumquattiller_control_bytes").await?;
+        let read = rig.store_reads().await? - reads_before;
         let x = entries as f64;
+        reads.push((x, read / IDLE.as_secs_f64()));
         memory.push((x, rig::mean(used.iter().map(|u| u.resident))));
         cores.push((x, rig::mean(used.iter().map(|u| u.cores))));
         control.push((x, (after - before) / IDLE.as_secs_f64()));
@@ -38,6 +40,7 @@
     Ok(vec![
         Series::new("entry.daemons.memory", "mean resident memory, idle", by, "B", memory),
         Series::new("entry.daemons.cores", "mean processor time, idle", by, "cores", cores),
+        Series::new("store.reads", "reads, idle, no change", by, "reads/s", reads),
         Series::new("entry.daemons.control", "control of one, both ways", by, "B/s", control),
     ])
 }
--- a/xtask/src/slopes/measure/links.rs
+++ b/xtask/src/slopes/measure/links.rs
@@ -1,6 +1,5 @@
 use std::time::Duration;
 
-use serde_json::json;
 use tokio::time::sleep;
 
 use crate::Failure;
@@ -24,7 +23,7 @@
     let (mut memory, mut cores, mut control, mut runner) = (vec![], vec![], vec![], vec![]);
     for runners in RUNNERS {
         let size = Size { entries: 1, runners, engines: 1, accounts: 10 };
-        let rig = Rig::start(programs, size, &json!({})).await?;
+        let rig = Rig::start(programs, size, &[]).await?;
         let entry = &rig.entries[0];
         let mut ids = vec![entry.process.id()];
         ids.extend(rig.runners.iter().map(|r| r.process.id()));
--- a/xtask/src/slopes/measure/rate.rs
+++ b/xtask/src/slopes/measure/rate.rs
@@ -1,7 +1,5 @@
 use std::time::Duration;
 
-use serde_json::json;
-
 use crate::Failure;
 use crate::fleet::Programs;
 use crate::load;
@@ -20,6 +18,8 @@
 const RUNNERS: usize = 6;
 /// Time for which requests are sent at each rate.
 const DURATION: Duration = Duration::from_secs(10);
+/// Factor by which the engines run faster than their time model.
+const ENGINE_SPEED: u32 = 10;
 /// Deadline of the requests.
 const DEADLINE: Duration = Duration::from_secs(30);
 
@@ -29,10 +29,11 @@
 ///
 /// Fails when a process does not start or a request is not done.
 pub async fn measure(programs: &Programs) -> Result<Vec<Series>, Failure> {
+    let engine = ["--speed".to_owned(), ENGINE_SPEED.to_string()];
     let (mut cores, mut memory, mut runner) = (vec![], vec![], vec![]);
     for rate in RATES {
         let size = Size { entries: 1, runners: RUNNERS, engines: RUNNERS, accounts: 10 };
-        let rig = Rig::start(programs, size, &json!({"models": [MODEL]})).await?;
+        let rig = Rig::start(programs, size, &engine).await?;
         let options = Options {
             urls: vec![rig.entries[0].url()],
             credential: CREDENTIAL.to_owned(),
--- a/xtask/src/slopes/rig.rs
+++ b/xtask/src/slopes/rig.rs
@@ -2,7 +2,6 @@
 use std::time::Instant;
 
 use kumquattiller_inventory::Configuration;
-use serde_json::Value;
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -71,9 +70,13 @@
     /// # Errors
     ///
     /// Fails when a process does not start or not all links open.
-    pub async fn start(programs: &Programs, size: Size, engine: &Value) -> Result<Self, Failure> {
+    pub async fn start(
+        programs: &Programs,
+        size: Size,
+        engine: &[String],
+    ) -> Result<Self, Failure> {
         let starter = Starter::new(programs.clone(), root().join(FOLDER))?;
-        let platform = starter.standin("platform", "platform", &json!({}))?;
+        let platform = starter.standin("platform", "platform", &[])?;
         let mut engines = Vec::new();
         for index in 0..size.engines {
             engines.push(starter.standin(&format!("engine-{index}"), "engine", engine)?);
@@ -95,6 +98,17 @@
         Ok(rig)
     }
 
+    /// Returns the reads that the platform has counted.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn store_reads(&self) -> Result<f64, Failure> {
+        let calls: serde_json::Value =
+            reqwest::get(format!("{}/admin/calls", self.platform.url)).await?.json().await?;
+        calls["reads"].as_f64().ok_or_else(|| "calls without reads".into())
+    }
+
     /// Starts a runner process and puts it in the register, all for the first model.
     async fn add_runner(
         &mut self,
