--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 mod combined;
 mod command;
 mod path;
+mod sessions;
 mod settings;
 mod support;
