--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -1,15 +1,17 @@
 use std::time::Duration;
 
 use kumquattiller_base::attempt::Attempt;
-use kumquattiller_base::attempt::Sent;
 use kumquattiller_base::attempt::Unsent;
 use kumquattiller_base::error;
 use kumquattiller_base::outcome::Outcome;
 use kumquattiller_base::runner;
-use kumquattiller_base::size::Tokens;
-use kumquattiller_wire::Attempt as WireAttempt;
+use kumquattiller_base::time::Moment;
+use kumquattiller_recovery::retry::Decision;
+use kumquattiller_recovery::retry::Plan;
+use kumquattiller_recovery::stream::Replay;
+use kumquattiller_recovery::suspect::Standing;
 use tokio::sync::mpsc;
-use tokio::time::timeout_at;
+use tokio::time::sleep;
 
 use crate::Daemon;
 use crate::drive::Chunk;
@@ -18,39 +20,30 @@
 use crate::drive::Position;
 use crate::drive::permit::Permit;
 use crate::drive::repeat::Repeat;
-use crate::drive::stream::Stream;
-use crate::drive::stream::Verdict;
+use crate::drive::run::Ended;
 use crate::request::Admitted;
-use crate::runners::Call;
-use crate::runners::Reply;
 
-/// Most runners that one request is tried on.
-const MAX_RUNNERS: usize = 3;
+/// Upper end of the pause of a suspect that waits for an engine without another one.
+const MAX_SUSPECT_PAUSE_MS: u64 = 200;
 
 /// Runs the attempts of one request.
 #[derive(Debug)]
 pub struct Driver {
-    daemon: Daemon,
-    request: Admitted,
-    output: mpsc::Sender<Output>,
+    pub(super) daemon: Daemon,
+    pub(super) request: Admitted,
+    pub(super) output: mpsc::Sender<Output>,
+    pub(super) permit: Permit,
+    pub(super) replay: Replay,
+    pub(super) last_piece: Option<Moment>,
     tried: Vec<runner::Id>,
-    permit: Permit,
-}
-
-/// How an attempt ended.
-enum Ended {
-    /// The request has its outcome.
-    With(End),
-    /// The runner proved that it started nothing.
-    Refused(Attempt<Sent>, error::Kind, Option<Duration>),
-    /// The runner was lost, or failed in a way that another may not.
-    Lost(Attempt<Sent>, error::Kind),
 }
 
 impl Driver {
     /// Prepares to run a request whose answer goes to `output`.
     pub fn new(daemon: Daemon, request: Admitted, output: mpsc::Sender<Output>) -> Self {
-        Self { daemon, request, output, tried: Vec::new(), permit: Permit::default() }
+        let permit = Permit::default();
+        let replay = Replay::default();
+        Self { daemon, request, output, permit, replay, last_piece: None, tried: Vec::new() }
     }
 
     /// Runs attempts until the request has its outcome, and hands it over.
@@ -90,7 +83,10 @@
             return Some(not_run(unsent, error::Kind::MissingKey, None));
         };
         let claims = self.daemon.claims();
+        let asked = self.daemon.now();
         let answer = claims.claim(key, self.request.fingerprint, self.request.deadline).await;
+        let waited = self.daemon.now().since(asked).as_millis();
+        self.note(&format!("claim: {answer}, after {waited} ms"));
         match Repeat::of(answer, unsent) {
             Repeat::No(claim) => {
                 self.permit = Permit::of(claim);
@@ -109,23 +105,30 @@
     /// Runs one attempt after the other.
     async fn attempts(&mut self) -> End {
         let mut attempt = Attempt::first(self.request.id);
+        let mut plan = Plan::default();
         let mut reason = (error::Kind::NoRunner, None);
         loop {
             if self.request.deadline.is_over(self.daemon.now()) {
-                return not_run(attempt, error::Kind::DeadlineExpired, None);
+                return self.give_up(attempt, error::Kind::DeadlineExpired, None);
+            }
+            let standing =
+                self.daemon.suspects().standing(self.request.fingerprint, self.daemon.now());
+            if let Standing::Refused { left } = standing {
+                return self.give_up(attempt, error::Kind::CrashesBackends, Some(left));
             }
-            if self.tried.len() >= MAX_RUNNERS {
-                return not_run(attempt, reason.0, reason.1);
+            let suspect = standing == Standing::Suspect;
+            if suspect {
+                self.note("it ran when an engine died; it runs apart from other such requests");
             }
             let Some(call) = self.daemon.runners().choose(&self.request, &self.tried) else {
-                return not_run(attempt, reason.0, reason.1);
+                return self.give_up(attempt, reason.0, reason.1);
             };
             self.tried.push(call.runner().clone());
             if !self.permit.start(self.daemon.claims()) {
-                return not_run(attempt, error::Kind::DeadlineExpired, None);
+                return self.give_up(attempt, error::Kind::DeadlineExpired, None);
             }
-            match self.attempt(attempt, call).await {
-                Ended::With(end) => return end,
+            let decision = match self.attempt(attempt, call, suspect).await {
+                Ended::With(end) => return self.settle(end, suspect),
                 Ended::Refused(sent, kind, retry_after) => {
                     self.note(&format!("the runner refused: {kind}"));
                     self.daemon.recorder().metrics().retry();
@@ -133,6 +136,11 @@
                     let refused = sent.refuse();
                     self.permit.refused(&refused);
                     attempt = refused.again();
+                    if suspect && kind == error::Kind::Overloaded {
+                        self.wait_for_engine().await;
+                        continue;
+                    }
+                    plan.refused(self.daemon.now(), self.request.deadline)
                 }
                 Ended::Lost(_, kind) if !self.request.idempotent => {
                     return Outcome::Unknown(kind).into();
@@ -142,117 +150,56 @@
                     self.daemon.recorder().metrics().retry();
                     reason = (kind, None);
                     attempt = sent.again();
+                    let now = self.daemon.now();
+                    let mut budget = self.daemon.retries();
+                    plan.lost(now, self.request.deadline, &mut budget, &mut rand::rng())
                 }
-            }
-        }
-    }
-
-    /// Runs one attempt on a runner.
-    async fn attempt(&mut self, attempt: Attempt<Unsent>, mut call: Call) -> Ended {
-        let number = WireAttempt { request: attempt.request(), number: attempt.number() };
-        let span = self.request.trace.span("attempt", self.request.id);
-        let trace = self.request.trace.within(&span);
-        self.note(&format!("attempt {} on runner {}", number.number, call.runner()));
-        let sent = attempt.send();
-        if call.start(&self.request, number, self.daemon.now(), trace).await.is_err() {
-            return Ended::Lost(sent, error::Kind::RunnerLost);
-        }
-        let mut stream = Stream::default();
-        let until = self.daemon.clock().instant(self.request.deadline.moment());
-        loop {
-            let reply = tokio::select! {
-                reply = timeout_at(until, call.reply()) => reply,
-                () = self.output.closed(), if self.request.idempotent => {
-                    call.cancel();
-                    return Ended::With(Outcome::Failed(error::Kind::Cancelled).into());
-                }
-            };
-            let Ok(reply) = reply else {
-                call.cancel();
-                return Ended::With(self.out_of_time(&stream));
             };
-            let Some(reply) = reply else {
-                return self.lost(sent, &stream);
+            let Decision::Retry { after } = decision else {
+                self.note(&format!("no further attempt: {decision}"));
+                return self.give_up(attempt, reason.0, reason.1);
             };
-            match self.take(&mut stream, number, &call, reply).await {
-                Step::Next => {}
-                Step::End(end) => return Ended::With(end),
-                Step::Refused(kind, retry_after) => return Ended::Refused(sent, kind, retry_after),
-                Step::Failed(kind) if stream.next() == 0 && self.request.idempotent => {
-                    return Ended::Lost(sent, kind);
-                }
-                Step::Failed(kind) => return Ended::With(self.failed(kind)),
-            }
-        }
-    }
-
-    /// Judges a reply and hands a piece of the answer over.
-    async fn take(
-        &mut self,
-        stream: &mut Stream,
-        attempt: WireAttempt,
-        call: &Call,
-        reply: Reply,
-    ) -> Step {
-        match (stream.judge(&reply), reply) {
-            (Verdict::Deliver, Reply::Chunk { incarnation, data, .. }) => {
-                stream.measure(&self.daemon, &self.request);
-                let runner = call.runner().clone();
-                let position = Position { runner, incarnation, attempt, offset: stream.next() };
-                self.permit.keep(&data);
-                let _ = self.output.send(Output::Chunk(Chunk { position, data })).await;
-                Step::Next
-            }
-            (Verdict::Complete, Reply::Final { status, content_type, finish_reason, .. }) => {
-                let outcome = Outcome::Done { tokens: Tokens::new(stream.next()) };
-                Step::End(End { outcome, status, content_type, finish_reason })
-            }
-            (Verdict::Broken, _) => Step::Failed(error::Kind::BackendFailed),
-            (_, Reply::Refused { kind, retry_after }) => Step::Refused(kind, retry_after),
-            (_, Reply::Failed { kind, .. }) => Step::Failed(kind),
-            _ => Step::Next,
+            sleep(after).await;
         }
     }
 
     /// Notes a decision about the request.
-    fn note(&self, decision: &str) {
+    pub(super) fn note(&self, decision: &str) {
         self.daemon.note(self.request.id, decision);
     }
 
-    /// Ends an attempt whose link was lost.
-    fn lost(&self, sent: Attempt<Sent>, stream: &Stream) -> Ended {
-        if stream.next() == 0 {
-            return Ended::Lost(sent, error::Kind::RunnerLost);
-        }
-        Ended::With(self.failed(error::Kind::RunnerLost))
+    /// Waits until an engine may be without another suspect, and considers all of them again.
+    async fn wait_for_engine(&mut self) {
+        let pause = Duration::from_millis(rand::random_range(0..=MAX_SUSPECT_PAUSE_MS));
+        sleep(pause.min(self.request.deadline.left(self.daemon.now()))).await;
+        self.tried.clear();
     }
 
-    /// Returns the outcome of a request that started and failed.
-    fn failed(&self, kind: error::Kind) -> End {
-        if self.request.idempotent {
-            return Outcome::Failed(kind).into();
+    /// Notes what the end of an attempt says about the fleet and the request.
+    fn settle(&self, end: End, suspect: bool) -> End {
+        if matches!(end.outcome, Outcome::Done { .. }) {
+            self.daemon.retries().succeed();
+            if suspect {
+                self.daemon.suspects().acquit(self.request.fingerprint);
+            }
         }
-        Outcome::Unknown(kind).into()
+        end
     }
 
-    /// Returns the outcome of a request whose deadline passed while a runner had it.
-    fn out_of_time(&self, stream: &Stream) -> End {
-        let kind = error::Kind::DeadlineExceeded;
-        if stream.next() > 0 && self.request.idempotent {
-            return Outcome::Failed(kind).into();
+    /// Returns the outcome of a request that gets no further attempt.
+    fn give_up(
+        &self,
+        attempt: Attempt<Unsent>,
+        kind: error::Kind,
+        retry_after: Option<Duration>,
+    ) -> End {
+        if self.replay.is_empty() {
+            return not_run(attempt, kind, retry_after);
         }
-        Outcome::Unknown(kind).into()
+        Outcome::Failed(kind).into()
     }
 }
 
-/// What follows from a reply.
-enum Step {
-    Next,
-    End(End),
-    Refused(error::Kind, Option<Duration>),
-    Failed(error::Kind),
-}
-
 /// Returns "not run" when the attempt proves it, else that nobody knows.
 pub(super) fn not_run(
     attempt: Attempt<Unsent>,
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -26,6 +26,7 @@
 use crate::http;
 use crate::job;
 use crate::link;
+use crate::suspects::Suspects;
 
 /// Time between sweeps of the job table.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -45,6 +46,7 @@
     service: service::Client,
     memory: Account,
     jobs: job::Table,
+    suspects: Suspects,
     recorder: Recorder,
     work: TaskTracker,
     leaving: AtomicBool,
@@ -63,6 +65,7 @@
             zone: settings.zone.to_string(),
             role: "runner".to_owned(),
         };
+        let suspects = Suspects::new(&identity.name, identity.incarnation);
         let inner = Inner {
             engine: engine::Client::new(transport.clone(), &settings.backend.url),
             service: service::Client::new(transport, &settings.backend.url),
@@ -71,6 +74,7 @@
             identity,
             clock: Clock::start(),
             jobs: job::Table::default(),
+            suspects,
             recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
@@ -166,6 +170,11 @@
         &self.inner.jobs
     }
 
+    /// Returns the requests that an engine's death makes suspects.
+    pub fn suspects(&self) -> &Suspects {
+        &self.inner.suspects
+    }
+
     /// Returns the metrics and the decisions.
     pub fn recorder(&self) -> &Recorder {
         &self.inner.recorder
--- a/crates/runner/src/work/mod.rs
+++ b/crates/runner/src/work/mod.rs
@@ -31,6 +31,8 @@
     }
     drop(span);
     drop(promise);
+    let engine_died = matches!(end, End::Failed { backend_died: true, .. });
+    process.suspects().leave(job.attempt(), engine_died).await;
     record(&process, &job, &end);
     job.finish(end, process.now());
 }
