entry, runner: a caller that lost its connection continues its stream

Cause: an entry daemon cancelled the work as soon as its caller's connection broke, so that Last-Event-ID found only a cancelled answer. A second cause on the runner's side: a copy to a closed link ended only at its next write, so that work in a long prefill was not seen as abandoned. Conclusion: answers that are not streamed are still cancelled at once, since no caller can continue them. The kind resume_gone says now that the request ran.

--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -188,7 +188,7 @@
             | Self::Leaving
             | Self::MemoryFull
             | Self::InProgress => &[Ran::No, Ran::Unknown],
-            Self::ResumeGone => &[Ran::No, Ran::Yes],
+            Self::ResumeGone => &[Ran::Yes],
             Self::DeadlineExceeded | Self::RunnerLost | Self::BackendFailed | Self::Cancelled => {
                 &[Ran::Yes, Ran::Unknown]
             }
--- a/crates/entry/src/drive/run.rs
+++ b/crates/entry/src/drive/run.rs
@@ -23,11 +23,9 @@
 use crate::drive::Output;
 use crate::drive::Position;
 use crate::runners::Call;
+use crate::runners::REJOIN_LIMIT;
 use crate::runners::Reply;
 
-/// Longest wait for a new link to a runner; it cancels work that nobody listens to a little later.
-const REJOIN_LIMIT: Duration = Duration::from_millis(2_500);
-
 /// Pause before a further resumption when the link closed again.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
@@ -76,7 +74,7 @@
             let reply = tokio::select! {
                 reply = timeout_at(until, call.reply()) => reply,
                 () = self.output.closed(), if self.request.idempotent => {
-                    call.cancel();
+                    self.leave(&call);
                     return Ended::With(Outcome::Failed(error::Kind::Cancelled).into());
                 }
             };
@@ -110,6 +108,15 @@
         }
     }
 
+    /// Leaves an attempt whose caller went away; a streamed one can be resumed for a while.
+    fn leave(&self, call: &Call) {
+        if self.request.streamed {
+            call.detach();
+        } else {
+            call.cancel();
+        }
+    }
+
     /// Judges a reply and hands a piece of the answer over.
     async fn take(
         &mut self,
--- a/crates/entry/src/http/error.rs
+++ b/crates/entry/src/http/error.rs
@@ -60,6 +60,12 @@
         self
     }
 
+    /// Makes the answer to a request that started and failed.
+    pub const fn failed(request: request::Id, kind: error::Kind) -> Self {
+        let request = Some(request);
+        Self { kind, ran: error::Ran::Yes, retry_after: None, request, detail: None }
+    }
+
     /// Makes the answer to an outcome, or `None` when the request is done.
     pub fn of(request: request::Id, outcome: &Outcome) -> Option<Self> {
         let (kind, retry_after) = match outcome {
--- a/crates/entry/src/http/models.rs
+++ b/crates/entry/src/http/models.rs
@@ -80,6 +80,7 @@
         path: ENGINE_PATH.to_owned(),
         prompt: parts.tokens,
         max_tokens: parts.max_tokens,
+        streamed: parts.stream,
         idempotent,
         key,
         deadline: Deadline::after(arrived, span),
--- a/crates/entry/src/http/plain.rs
+++ b/crates/entry/src/http/plain.rs
@@ -77,6 +77,7 @@
         path,
         prompt: Tokens::ZERO,
         max_tokens: Tokens::ZERO,
+        streamed: false,
         idempotent,
         key,
         deadline: Deadline::after(arrived, span),
--- a/crates/entry/src/request/admitted.rs
+++ b/crates/entry/src/request/admitted.rs
@@ -27,6 +27,8 @@
     pub prompt: Tokens,
     /// Most tokens to generate.
     pub max_tokens: Tokens,
+    /// Whether the caller reads the answer as a stream, which it can resume.
+    pub streamed: bool,
     /// Whether a repeat does no harm.
     pub idempotent: bool,
     /// The caller's key.
--- a/crates/entry/src/runners/call.rs
+++ b/crates/entry/src/runners/call.rs
@@ -17,6 +17,9 @@
 use crate::runners::Remote;
 use crate::runners::Reply;
 
+/// Longest wait for a new link to a runner; it cancels work that nobody listens to a little later.
+pub const REJOIN_LIMIT: Duration = Duration::from_millis(2_500);
+
 /// Pause between looks for a new link.
 const REJOIN_PAUSE: Duration = Duration::from_millis(50);
 
@@ -101,8 +104,17 @@
 
     /// Tells the runner to stop working on the attempt.
     pub fn cancel(&self) {
+        self.send_cancel(false);
+    }
+
+    /// Tells the runner that nobody listens here, so that the caller can resume for a while.
+    pub fn detach(&self) {
+        self.send_cancel(true);
+    }
+
+    fn send_cancel(&self, detach: bool) {
         if let Some((attempt, _)) = &self.current {
-            let cancel = link::Cancel { attempt: Some((*attempt).into()) };
+            let cancel = link::Cancel { attempt: Some((*attempt).into()), detach };
             let sender = self.sender.clone();
             tokio::spawn(async move { sender.send(Body::Cancel(cancel)).await });
         }
--- a/crates/entry/src/runners/mod.rs
+++ b/crates/entry/src/runners/mod.rs
@@ -7,6 +7,7 @@
 mod reply;
 
 pub use call::Call;
+pub use call::REJOIN_LIMIT;
 pub use pool::Pool;
 pub use remote::Remote;
 pub use reply::Reply;
--- a/crates/entry/src/runners/pool.rs
+++ b/crates/entry/src/runners/pool.rs
@@ -52,6 +52,13 @@
         Some(Call::new(Arc::clone(remote), remote.sender()?))
     }
 
+    /// Prepares a call to a certain runner, when its link is open.
+    pub fn call(&self, id: &runner::Id) -> Option<Call> {
+        let remote = self.get(id)?;
+        let sender = remote.sender()?;
+        Some(Call::new(remote, sender))
+    }
+
     /// Returns a runner by its id.
     pub fn get(&self, id: &runner::Id) -> Option<Arc<Remote>> {
         self.lock().get(id).cloned()
--- a/crates/runner/src/link/mod.rs
+++ b/crates/runner/src/link/mod.rs
@@ -5,5 +5,6 @@
 mod listener;
 mod session;
 mod subscription;
+mod subscriptions;
 
 pub use listener::run;
--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -19,7 +19,7 @@
 use crate::job::Job;
 use crate::link::frames;
 use crate::link::incoming::Incoming;
-use crate::link::subscription;
+use crate::link::subscriptions::Subscriptions;
 use crate::work;
 
 /// When a suspect is to be tried again that was refused for another one's sake.
@@ -32,12 +32,14 @@
     sender: Sender,
     peer: Identity,
     incoming: HashMap<Attempt, Incoming>,
+    subscriptions: Subscriptions,
 }
 
 impl Session {
     /// Begins a session on an open link.
     pub fn new(process: Process, sender: Sender, peer: Identity) -> Self {
-        Self { process, sender, peer, incoming: HashMap::new() }
+        let subscriptions = Subscriptions::new(process.clone(), sender.clone());
+        Self { process, sender, peer, incoming: HashMap::new(), subscriptions }
     }
 
     /// Serves frames until the link closes.
@@ -74,7 +76,7 @@
     async fn start(&mut self, start: link::Start) -> Result<(), Error> {
         let attempt = Attempt::from_field(start.attempt)?;
         if let Some(job) = self.process.jobs().get(attempt) {
-            self.subscribe(job, 0);
+            self.subscriptions.add(job, 0);
             return Ok(());
         }
         match self.admit(&start) {
@@ -137,7 +139,7 @@
 
     /// Creates the job, tells the entry daemon and starts the work.
     async fn accept(
-        &self,
+        &mut self,
         attempt: Attempt,
         start: link::Start,
         body: Bytes,
@@ -155,25 +157,26 @@
             load: Some(self.process.load().into()),
         };
         self.send(Body::Accepted(accepted)).await?;
-        self.subscribe(Arc::clone(&job), 0);
+        self.subscriptions.add(Arc::clone(&job), 0);
         if added {
             self.process.spawn(work::run(self.process.clone(), job, body, promise));
         }
         Ok(())
     }
 
-    /// Cancels an attempt.
+    /// Cancels an attempt, or stops copying its answer to this link.
     fn cancel(&mut self, cancel: link::Cancel) -> Result<(), Error> {
         let attempt = Attempt::from_field(cancel.attempt)?;
         self.incoming.remove(&attempt);
-        if let Some(job) = self.process.jobs().get(attempt) {
+        self.subscriptions.end(attempt);
+        if let Some(job) = self.process.jobs().get(attempt).filter(|_| !cancel.detach) {
             job.cancel().cancel();
         }
         Ok(())
     }
 
     /// Continues an attempt that was started through another link.
-    async fn resume(&self, resume: &link::Resume) -> Result<(), Error> {
+    async fn resume(&mut self, resume: &link::Resume) -> Result<(), Error> {
         let attempt = Attempt::from_field(resume.attempt)?;
         let own = resume.incarnation == self.process.identity().incarnation;
         let job = self.process.jobs().get(attempt).filter(|job| {
@@ -181,7 +184,7 @@
         });
         match job {
             Some(job) => {
-                self.subscribe(job, resume.offset);
+                self.subscriptions.add(job, resume.offset);
                 Ok(())
             }
             None => {
@@ -214,11 +217,6 @@
         self.send(Body::Heartbeat(reply)).await
     }
 
-    fn subscribe(&self, job: Arc<Job>, offset: u64) {
-        let sender = self.sender.clone();
-        tokio::spawn(subscription::run(self.process.clone(), sender, job, offset));
-    }
-
     async fn send(&self, body: Body) -> Result<(), Error> {
         self.sender.send(body).await.map_err(|_| Error::Io(std::io::ErrorKind::BrokenPipe.into()))
     }
--- a/crates/runner/src/link/subscription.rs
+++ b/crates/runner/src/link/subscription.rs
@@ -1,15 +1,25 @@
 use std::sync::Arc;
 
 use kumquattiller_link::Sender;
+use tokio_util::sync::CancellationToken;
 
 use crate::Process;
 use crate::job::Job;
 use crate::link::frames;
 
-/// Copies a job's answer to a link from `offset` on, until its end or the link's.
-pub async fn run(process: Process, sender: Sender, job: Arc<Job>, offset: u64) {
+/// Copies a job's answer to a link from `offset` on, until its end, the link's or `detached`.
+pub async fn run(
+    process: Process,
+    sender: Sender,
+    job: Arc<Job>,
+    offset: u64,
+    detached: CancellationToken,
+) {
     job.subscribe();
-    copy(&process, &sender, &job, offset).await;
+    tokio::select! {
+        () = copy(&process, &sender, &job, offset) => {}
+        () = detached.cancelled() => {}
+    }
     job.unsubscribe(process.now());
 }
 
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -1,9 +1,12 @@
 //! The path of a request from its caller to a backend server and back.
 
+use std::time::Duration;
+
 use kumquattiller_support::caller::Caller;
 use kumquattiller_support::caller::Piece;
 use kumquattiller_support::fleet::MODEL;
 use kumquattiller_support::fleet::PLAIN_SERVICE;
+use kumquattiller_support::wait;
 use serde_json::json;
 
 use crate::support::fleet;
@@ -11,6 +14,11 @@
 /// Bytes of prompt text to a token.
 const BYTES_PER_TOKEN: usize = 4;
 
+/// Time for which a caller is away.
+const AWAY: Duration = Duration::from_millis(500);
+/// Bound on memory that is held without an owner.
+const MEMORY_LIMIT: Duration = Duration::from_secs(5);
+
 fn prompt(tokens: usize) -> String {
     "gas ".repeat(tokens * BYTES_PER_TOKEN / 4)
 }
@@ -49,6 +57,35 @@
     assert_eq!(text + &more, whole.text());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_lost_its_connection_continues_the_answer() {
+    let fleet = fleet().start().await;
+    let whole = fleet.caller(1).complete(&body_whole()).await;
+    let body = Caller::completion(MODEL, &prompt(1_000), 60, true);
+    let mut stream = fleet.caller(0).stream(&body).await.expect("answer is streamed");
+    let Piece::Text(text) = stream.next().await else {
+        panic!("the stream begins with text");
+    };
+    let last = stream.last_event_id().to_owned();
+    drop(stream);
+    tokio::time::sleep(AWAY).await;
+    let mut rest = fleet.caller(1).resume(&last).await.expect("stream is continued");
+    let (more, end) = rest.rest().await;
+    assert_eq!(end, Piece::Done);
+    assert_eq!(text + &more, whole.text());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_nobody_listens_to_is_cancelled() {
+    let fleet = fleet().engines(1).start().await;
+    let body = Caller::completion(MODEL, &prompt(1_000), 2_000, true);
+    let mut stream = fleet.caller(0).stream(&body).await.expect("answer is streamed");
+    assert!(matches!(stream.next().await, Piece::Text(_)));
+    assert!(fleet.engine(0).kv_held() > 0);
+    drop(stream);
+    wait::until("free memory", MEMORY_LIMIT, async || fleet.engine(0).kv_held() == 0).await;
+}
+
 /// Returns the whole form of the request that is continued.
 fn body_whole() -> serde_json::Value {
     Caller::completion(MODEL, &prompt(1_000), 60, false)
