--- a/crates/inventory/src/lib.rs
+++ b/crates/inventory/src/lib.rs
@@ -9,7 +9,7 @@
 //! [`shard`] lays the items out in objects that the platform's store accepts.
 
 pub mod check;
-mod configuration;
+pub mod configuration;
 pub mod diff;
 pub mod read;
 pub mod register;
