entry, runner, ops: configuration over links, check, diff, apply, status, drain

Cause: every daemon read one whole object of the store twice a second, which neither fits 10,000 runners in a value nor 1,600 daemons in 2,000 reads a second, and nobody was told that a VM leaves. Ruled out: probes on the nonces of the load heartbeats (a reply to one would count as the reply to the other, so the highest bit marks questions about configuration); every process reading the list of VMs (watchers read it twice a second, others every 10 s, and the word goes on over links). Conclusion: three watchers a zone, deltas over links, runner processes included; a daemon that nobody confirmed for 10 s fails readiness and refuses requests.

--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -4,6 +4,7 @@
 //! failures by what they prove: [`Fault::Unsent`] means that nothing reached the other side,
 //! [`Fault::Lost`] that it may have. No adapter retries.
 
+pub mod configuration;
 pub mod engine;
 mod fault;
 pub mod platform;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -8,12 +8,15 @@
 use kumquattiller_base::request;
 use kumquattiller_base::time::Moment;
 use kumquattiller_clients::Transport;
+use kumquattiller_clients::configuration::Spread;
 use kumquattiller_clients::platform;
 use kumquattiller_inventory::configuration;
 use kumquattiller_link::Clock;
 use kumquattiller_link::Identity;
 use kumquattiller_link::incarnation;
 use kumquattiller_telemetry::Recorder;
+use kumquattiller_wire::Body;
+use kumquattiller_wire::link::Leave;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -22,6 +25,7 @@
 use crate::Settings;
 use crate::http;
 use crate::link;
+use crate::peers;
 use crate::runners::Pool;
 use crate::snapshot::Snapshot;
 use crate::source;
@@ -40,6 +44,8 @@
     platform: platform::Client,
     snapshots: watch::Sender<Arc<Snapshot>>,
     runners: Pool,
+    spread: Spread,
+    peers: peers::Table,
     recorder: Recorder,
     work: TaskTracker,
     leaving: AtomicBool,
@@ -63,6 +69,8 @@
             clock: Clock::start(),
             snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
             runners: Pool::default(),
+            spread: Spread::default(),
+            peers: peers::Table::default(),
             recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
@@ -86,15 +94,35 @@
         );
         tokio::spawn(link::run(self.clone(), links));
         tokio::spawn(source::run(self.clone()));
+        tokio::spawn(peers::run(self.clone()));
         shutdown.await;
         self.stop(server).await;
         Ok(())
     }
 
+    /// Fails readiness from now on.
+    pub fn leave(&self) {
+        if !self.inner.leaving.swap(true, Ordering::SeqCst) {
+            log::info!(daemon:% = self.settings().id; "entry daemon is leaving");
+        }
+    }
+
+    /// Acts on the word that a VM is leaving: stops being ready when it is the own one, tells the
+    /// runner process when there is a link to it.
+    pub fn on_leaving(&self, leave: &Leave) {
+        if leave.runner == self.settings().id.as_str() {
+            self.leave();
+            return;
+        }
+        let remote = leave.runner.parse().ok().and_then(|id| self.runners().get(&id));
+        if let Some(sender) = remote.and_then(|remote| remote.sender()) {
+            sender.try_send(Body::Leave(leave.clone()));
+        }
+    }
+
     /// Fails readiness, then refuses requests, then waits for those under way.
     async fn stop(&self, server: http::Server) {
-        self.inner.leaving.store(true, Ordering::SeqCst);
-        log::info!(daemon:% = self.settings().id; "entry daemon is leaving");
+        self.leave();
         tokio::time::sleep(Duration::from_millis(self.settings().drain_grace_ms)).await;
         self.inner.refusing.store(true, Ordering::SeqCst);
         self.inner.work.close();
@@ -169,10 +197,26 @@
         self.recorder().note(self.now(), request, decision);
     }
 
+    /// Returns the spread of configuration over the links.
+    pub fn spread(&self) -> &Spread {
+        &self.inner.spread
+    }
+
+    /// Returns the entry daemons that this daemon has links to.
+    pub fn peers(&self) -> &peers::Table {
+        &self.inner.peers
+    }
+
+    /// Tells whether a source confirmed the configuration in force lately.
+    pub fn is_fresh(&self) -> bool {
+        self.spread().state(self.now()).is_ready()
+    }
+
     /// Tells whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
         !self.inner.leaving.load(Ordering::SeqCst)
             && self.config_version() != configuration::Version::NONE
+            && self.is_fresh()
     }
 
     /// Tells whether new requests are refused.
--- a/crates/entry/src/http/handlers.rs
+++ b/crates/entry/src/http/handlers.rs
@@ -17,12 +17,12 @@
 /// Pieces that wait for the caller.
 const OUTPUT_PIECES: usize = 64;
 
-/// Refuses when the daemon is stopping or has no configuration.
+/// Refuses when the daemon is stopping or has no configuration that it can vouch for.
 pub fn check_serving(daemon: &Daemon) -> Result<(), Error> {
     if daemon.is_refusing() {
         return Err(error::Kind::Stopping.into());
     }
-    if daemon.config_version() == configuration::Version::NONE {
+    if daemon.config_version() == configuration::Version::NONE || !daemon.is_fresh() {
         return Err(error::Kind::NoConfiguration.into());
     }
     Ok(())
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod drive;
 pub mod http;
 pub mod link;
+pub mod peers;
 pub mod request;
 pub mod runners;
 pub mod settings;
--- a/crates/entry/src/link/session.rs
+++ b/crates/entry/src/link/session.rs
@@ -4,8 +4,11 @@
 use kumquattiller_link::Sender;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::link;
+use tokio::time::timeout;
 
 use crate::Daemon;
+use crate::peers::SILENCE_LIMIT;
+use crate::source;
 
 /// One link from an operator or another entry daemon.
 #[derive(Debug)]
@@ -23,10 +26,23 @@
 
     /// Serves frames until the link closes.
     pub async fn run(self, mut receiver: Receiver) {
-        while let Ok(Some(body)) = receiver.next().await {
+        let name = self.peer.name.as_str();
+        let is_daemon = self.peer.role == self.daemon.identity().role;
+        let _guard = is_daemon.then(|| {
+            let sender = self.sender.clone();
+            self.daemon.peers().connected(&self.daemon, name, &self.peer.zone, sender)
+        });
+        while let Ok(Ok(Some(body))) = timeout(SILENCE_LIMIT, receiver.next()).await {
+            if is_daemon && source::take(&self.daemon, name, &body) {
+                continue;
+            }
             let answer = match body {
                 Body::Explain(question) => self.explain(question),
                 Body::Heartbeat(heartbeat) => self.heartbeat(heartbeat),
+                Body::Leave(leave) => {
+                    self.daemon.on_leaving(&leave);
+                    continue;
+                }
                 _ => None,
             };
             let Some(answer) = answer else {
@@ -55,6 +71,7 @@
             load: None,
             nonce: heartbeat.nonce,
             reply: true,
+            ready: self.daemon.is_fresh(),
         }))
     }
 }
--- a/crates/entry/src/runners/dialer.rs
+++ b/crates/entry/src/runners/dialer.rs
@@ -14,6 +14,7 @@
 use crate::Daemon;
 use crate::runners::Remote;
 use crate::runners::Reply;
+use crate::source;
 
 /// Time between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -62,11 +63,13 @@
 async fn serve(daemon: &Daemon, remote: &Remote, link: Link) {
     let load = link.load.map(Load::from).unwrap_or_default();
     remote.connected(link.sender.clone(), link.peer.incarnation, load, daemon.now());
+    let spread = daemon.spread().connected(remote.runner().id.as_str(), link.sender.clone());
     log::info!(runner:% = remote.runner().id; "link is open");
     tokio::select! {
         () = receive(daemon, remote, link.receiver) => {}
         () = beat(daemon, &link.sender) => {}
     }
+    daemon.spread().disconnected(spread);
     log::info!(runner:% = remote.runner().id; "link is closed");
 }
 
@@ -90,6 +93,9 @@
 
 /// Takes one frame.
 fn take(daemon: &Daemon, remote: &Remote, body: Body) {
+    if source::take(daemon, remote.runner().id.as_str(), &body) {
+        return;
+    }
     if let Body::Heartbeat(heartbeat) = body {
         if let Some(load) = heartbeat.load {
             remote.report(load.into(), daemon.now());
@@ -127,6 +133,7 @@
             load: None,
             nonce,
             reply: false,
+            ready: false,
         };
         if sender.send(Body::Heartbeat(heartbeat)).await.is_err() {
             return;
--- a/crates/rollout/src/spread/mod.rs
+++ b/crates/rollout/src/spread/mod.rs
@@ -13,6 +13,7 @@
 
 pub use event::Action;
 pub use event::Message;
+pub use node::NONCE_MARK;
 pub use node::Node;
 pub use node::PROBE_INTERVAL;
 pub use watcher::WATCHERS_PER_ZONE;
--- a/crates/rollout/src/spread/node.rs
+++ b/crates/rollout/src/spread/node.rs
@@ -16,6 +16,8 @@
 
 /// Time between probes.
 pub const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Bit that all nonces of probes have, so that other heartbeats on a link are told from them.
+pub const NONCE_MARK: u64 = 1 << 63;
 /// Peers that get a probe each time.
 const PROBED_PEERS: usize = 2;
 /// Peers that an adopted version is sent to.
@@ -42,7 +44,7 @@
             holder: Holder::default(),
             peers: Vec::new(),
             probes: BTreeMap::new(),
-            next_nonce: 1,
+            next_nonce: NONCE_MARK + 1,
             next_probe: Moment::ZERO,
             fetching_until: None,
         }
--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -21,6 +21,9 @@
 use crate::link::subscription;
 use crate::work;
 
+/// Role of entry daemons on a link.
+const ENTRY_ROLE: &str = "entry";
+
 /// One link from an entry daemon.
 #[derive(Debug)]
 pub struct Session {
@@ -37,7 +40,17 @@
     }
 
     /// Serves frames until the link closes.
-    pub async fn run(mut self, mut receiver: Receiver) {
+    pub async fn run(mut self, receiver: Receiver) {
+        let name = self.peer.name.clone();
+        let spread = (self.peer.role == ENTRY_ROLE)
+            .then(|| self.process.spread().connected(&name, self.sender.clone()));
+        self.receive(receiver).await;
+        if let Some(spread) = spread {
+            self.process.spread().disconnected(spread);
+        }
+    }
+
+    async fn receive(&mut self, mut receiver: Receiver) {
         loop {
             let body = match receiver.next().await {
                 Ok(Some(body)) => body,
@@ -55,12 +68,19 @@
 
     /// Serves one frame.
     async fn serve(&mut self, body: Body) -> Result<(), Error> {
+        if let Some(task) =
+            self.process.spread().take(&self.peer.name, &body, self.process.now())?
+        {
+            self.process.finish_task(task);
+            return Ok(());
+        }
         match body {
             Body::Start(start) => self.start(start).await,
             Body::BodyPart(part) => self.body_part(&part).await,
             Body::Cancel(cancel) => self.cancel(cancel),
             Body::Resume(resume) => self.resume(&resume).await,
             Body::Heartbeat(heartbeat) => self.heartbeat(&heartbeat).await,
+            Body::Leave(leave) => self.leave(&leave),
             Body::Explain(question) => self.explain(question).await,
             _ => Err(Error::Invalid("body")),
         }
@@ -191,6 +211,17 @@
         self.send(Body::Explained(link::Explained { request: Some(id.into()), lines })).await
     }
 
+    /// Takes no new work when the word is about the own backend server.
+    fn leave(&self, leave: &link::Leave) -> Result<(), Error> {
+        let own = self.process.identity();
+        let names_start = leave.incarnation == 0 || leave.incarnation == own.incarnation;
+        if leave.runner != own.name || !names_start {
+            return Err(Error::Invalid("runner"));
+        }
+        self.process.leave();
+        Ok(())
+    }
+
     /// Answers a heartbeat with the load.
     async fn heartbeat(&self, heartbeat: &link::Heartbeat) -> Result<(), Error> {
         if heartbeat.reply {
@@ -201,6 +232,7 @@
             load: Some(self.process.load().into()),
             nonce: heartbeat.nonce,
             reply: true,
+            ready: self.process.is_fresh(),
         };
         self.send(Body::Heartbeat(reply)).await
     }
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -9,14 +9,18 @@
 use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
 use kumquattiller_clients::Transport;
+use kumquattiller_clients::configuration::Spread;
+use kumquattiller_clients::configuration::Task;
 use kumquattiller_clients::engine;
 use kumquattiller_clients::service;
+use kumquattiller_inventory::Configuration;
 use kumquattiller_link::Clock;
 use kumquattiller_link::Identity;
 use kumquattiller_link::incarnation;
 use kumquattiller_telemetry::Recorder;
 use kumquattiller_wire::Load;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -49,7 +53,8 @@
     work: TaskTracker,
     leaving: AtomicBool,
     stopped: CancellationToken,
-    config_version: AtomicU64,
+    spread: Spread,
+    configuration: watch::Sender<Option<Arc<Configuration>>>,
     load_sequence: AtomicU64,
 }
 
@@ -75,7 +80,8 @@
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
             stopped: CancellationToken::new(),
-            config_version: AtomicU64::new(0),
+            spread: Spread::default(),
+            configuration: watch::Sender::new(None),
             load_sequence: AtomicU64::new(0),
         };
         Self { inner: Arc::new(inner) }
@@ -117,12 +123,13 @@
         log::info!(runner:% = self.settings().id; "runner process ends");
     }
 
-    /// Drops old answers and cancels orphans until the process stops.
+    /// Drops old answers, cancels orphans and runs the spread of configuration until the process stops.
     async fn sweep(self) {
         let mut ticks = interval(SWEEP_INTERVAL);
         while !self.inner.stopped.is_cancelled() {
             ticks.tick().await;
             self.inner.jobs.sweep(self.now());
+            self.finish_task(self.inner.spread.tick(self.now()));
         }
     }
 
@@ -183,7 +190,37 @@
 
     /// Returns the configuration version in force here.
     pub fn config_version(&self) -> u64 {
-        self.inner.config_version.load(Ordering::SeqCst)
+        self.inner.spread.version().get()
+    }
+
+    /// Returns the spread of configuration over the links.
+    pub fn spread(&self) -> &Spread {
+        &self.inner.spread
+    }
+
+    /// Returns the configuration in force, as it changes; `None` before the first.
+    pub fn configuration(&self) -> watch::Receiver<Option<Arc<Configuration>>> {
+        self.inner.configuration.subscribe()
+    }
+
+    /// Tells whether a source confirmed the configuration in force lately.
+    pub fn is_fresh(&self) -> bool {
+        self.inner.spread.state(self.now()).is_ready()
+    }
+
+    /// Does what the spread of configuration asks for.
+    pub fn finish_task(&self, task: Task) {
+        let Some(configuration) = task.adopt else {
+            return;
+        };
+        self.inner.configuration.send_if_modified(|present| {
+            let newer = present.as_ref().is_none_or(|held| held.version < configuration.version);
+            if newer {
+                log::info!(version:% = configuration.version; "configuration in force");
+                *present = Some(configuration);
+            }
+            newer
+        });
     }
 
     /// Reports the load of the backend server.
--- /dev/null
+++ b/src/bin/kumquattiller/commands/apply.rs
@@ -0,0 +1,49 @@
+use std::path::PathBuf;
+
+use kumquattiller::command;
+use kumquattiller::error;
+use kumquattiller::ops;
+use kumquattiller::ops::Files;
+use kumquattiller_rollout::commit::Outcome;
+use pico_args::Arguments;
+
+/// Returns the help text.
+pub fn cli() -> &'static str {
+    "\
+Makes register and rules the accepted configuration, after the whole check. When another
+operator is first, nothing is changed, their change is shown, and the exit code is 4.
+
+usage: kumquattiller apply --platform URL --register FILE --rules FILE [--json]
+
+  --platform URL   base URL of the platform
+  --register FILE  register of places, services, runners and client accounts
+  --rules FILE     rules on top of the register
+  --json           print one JSON object
+  -h, --help       print this text
+"
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Fails on a wrong command line or file, on a conflict, and when the store cannot be reached.
+pub fn exec(mut args: Arguments) -> error::Result {
+    let json = args.contains("--json");
+    let platform: String = command::required(&mut args, "--platform", cli())?;
+    let register: PathBuf = command::required(&mut args, "--register", cli())?;
+    let rules: PathBuf = command::required(&mut args, "--rules", cli())?;
+    command::finish(args, cli())?;
+    let files = Files::read(&register, &rules)?;
+    let outcome = command::block_on(ops::apply(&platform, &files))?;
+    match outcome {
+        Outcome::Accepted(version) if json => {
+            println!("{}", serde_json::json!({"accepted": version, "changed": true}));
+        }
+        Outcome::Unchanged(version) if json => {
+            println!("{}", serde_json::json!({"accepted": version, "changed": false}));
+        }
+        outcome => println!("{outcome}"),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/kumquattiller/commands/diff.rs
@@ -0,0 +1,49 @@
+use std::path::PathBuf;
+
+use kumquattiller::command;
+use kumquattiller::error;
+use kumquattiller::error::Code;
+use kumquattiller::error::Error;
+use kumquattiller::ops;
+use kumquattiller::ops::Files;
+use pico_args::Arguments;
+
+/// Returns the help text.
+pub fn cli() -> &'static str {
+    "\
+Shows what applying register and rules would change. Exits with 7 when something would.
+
+usage: kumquattiller diff --platform URL --register FILE --rules FILE [--json]
+
+  --platform URL   base URL of the platform
+  --register FILE  register of places, services, runners and client accounts
+  --rules FILE     rules on top of the register
+  --json           print one JSON object
+  -h, --help       print this text
+"
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Fails on a wrong command line, a wrong file or an unreachable store, and when the
+/// configurations differ.
+pub fn exec(mut args: Arguments) -> error::Result {
+    let json = args.contains("--json");
+    let platform: String = command::required(&mut args, "--platform", cli())?;
+    let register: PathBuf = command::required(&mut args, "--register", cli())?;
+    let rules: PathBuf = command::required(&mut args, "--rules", cli())?;
+    command::finish(args, cli())?;
+    let files = Files::read(&register, &rules)?;
+    let difference = command::block_on(ops::diff(&platform, &files))?;
+    if json {
+        println!("{}", serde_json::json!(difference));
+    } else {
+        println!("{difference}");
+    }
+    if difference.is_empty() {
+        return Ok(());
+    }
+    Err(Error::new(Code::Differs, "the files differ from the accepted configuration").into())
+}
--- a/src/ops/explain.rs
+++ b/src/ops/explain.rs
@@ -4,7 +4,6 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 use kumquattiller_base::request;
-use kumquattiller_link::Identity;
 use kumquattiller_link::Link;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::link;
@@ -13,11 +12,10 @@
 use crate::error;
 use crate::error::Code;
 use crate::error::Error;
+use crate::ops::operator;
 
 /// Longest wait for the answer of a process.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Role of the command line on a link.
-const OPERATOR_ROLE: &str = "operator";
 
 /// What to explain and whom to ask.
 #[derive(Debug, Clone)]
@@ -58,13 +56,8 @@
 /// Asks one process.
 async fn ask(address: SocketAddr, request: request::Id) -> error::Result<Vec<String>> {
     let context = || Error::unreachable(format!("no answer from {address}"));
-    let own = Identity {
-        name: format!("operator-{}", std::process::id()),
-        incarnation: 1,
-        zone: String::new(),
-        role: OPERATOR_ROLE.to_owned(),
-    };
-    let mut link = Link::connect(address, &own, 0).await.change_context_lazy(context)?;
+    let mut link =
+        Link::connect(address, &operator::identity(), 0).await.change_context_lazy(context)?;
     let question = link::Explain { request: Some(request.into()) };
     link.sender.send(Body::Explain(question)).await.change_context_lazy(context)?;
     timeout(ANSWER_TIMEOUT, answer(&mut link)).await.change_context_lazy(context)?
