--- /dev/null
+++ b/crates/membership/tests/zone.rs
@@ -0,0 +1,135 @@
+//! A zone of daemons that are killed, paused and cut off from each other.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::Fleet;
+use kumquattiller_membership::Limits;
+use proptest::prelude::*;
+
+/// Seed of the cases in CI.
+const SEED: u64 = 0x5eed_0005;
+/// Rounds after which everybody has heard of everybody.
+const CONVERGENCE: Duration = Duration::from_secs(20);
+
+fn config() -> ProptestConfig {
+    let cases = std::env::var("KUMQUATTILLER_CASES").ok().and_then(|n| n.parse().ok());
+    ProptestConfig {
+        cases: cases.unwrap_or(24),
+        rng_seed: proptest::test_runner::RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Time from a kill until everybody has removed the member.
+fn removal() -> Duration {
+    let limits = Limits::default();
+    limits.answer_timeout + limits.remove_after + CONVERGENCE
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn one_seed_is_enough(seed in any::<u64>(), daemons in 2..40_usize) {
+        let mut fleet = Fleet::new(seed, daemons);
+        fleet.run(CONVERGENCE);
+        prop_assert_eq!(fleet.unknown(), 0);
+    }
+
+    #[test]
+    fn killed_is_removed_and_nobody_else(
+        seed in any::<u64>(),
+        daemons in 3..40_usize,
+        killed in prop::collection::btree_set(0..40_usize, 1..4),
+    ) {
+        let mut fleet = Fleet::new(seed, daemons);
+        fleet.run(CONVERGENCE);
+        for n in killed {
+            fleet.kill(n % daemons);
+        }
+        fleet.run(removal());
+        prop_assert_eq!(fleet.ghosts(), 0);
+        prop_assert_eq!(fleet.unknown(), 0);
+        prop_assert_eq!(fleet.false_deaths(), 0);
+    }
+
+    #[test]
+    fn paused_returns_and_accuses_nobody(
+        seed in any::<u64>(),
+        daemons in 3..30_usize,
+        pause in 1..200_u64,
+    ) {
+        let mut fleet = Fleet::new(seed, daemons);
+        fleet.run(CONVERGENCE);
+        let before = fleet.incarnation(0);
+        fleet.pause(0, Duration::from_secs(pause));
+        fleet.run(Duration::from_secs(pause) + CONVERGENCE * 2);
+        prop_assert_eq!(fleet.unknown(), 0);
+        prop_assert_eq!(fleet.deaths_seen_by(0), 0);
+        if pause > 6 {
+            prop_assert!(fleet.incarnation(0) > before, "woke with its old incarnation");
+        }
+    }
+
+    #[test]
+    fn partition_heals(
+        seed in any::<u64>(),
+        daemons in 4..30_usize,
+        apart in 1..100_u64,
+    ) {
+        let mut fleet = Fleet::new(seed, daemons);
+        fleet.run(CONVERGENCE);
+        fleet.cut(daemons / 2);
+        fleet.run(Duration::from_secs(apart));
+        fleet.heal();
+        fleet.run(CONVERGENCE * 2);
+        prop_assert_eq!(fleet.unknown(), 0);
+    }
+}
+
+#[test]
+fn leaver_is_gone_at_once_and_stays_gone() {
+    let mut fleet = Fleet::new(7, 20);
+    fleet.run(CONVERGENCE);
+    fleet.leave(3);
+    fleet.run(CONVERGENCE);
+    assert_eq!(fleet.ghosts(), 0);
+    fleet.run(Duration::from_secs(60));
+    assert_eq!(fleet.ghosts(), 0);
+}
+
+#[test]
+fn removal_takes_suspicion_first() {
+    let limits = Limits::default();
+    let mut fleet = Fleet::new(8, 20);
+    fleet.run(CONVERGENCE);
+    fleet.kill(3);
+    fleet.run(limits.remove_after);
+    assert_eq!(fleet.removals_of(3), 0);
+    fleet.run(removal() - limits.remove_after);
+    assert_eq!(fleet.removals_of(3), 19);
+}
+
+/// Daemons of a zone at the two-year size: 1,600 over 18 availability zones.
+const DAEMONS_PER_ZONE: usize = 89;
+/// Control bytes a second of a daemon.
+const CONTROL_BYTES_PER_SECOND: usize = 3_000;
+
+#[test]
+fn gossip_stays_far_below_the_control_limit() {
+    let mut fleet = Fleet::new(9, DAEMONS_PER_ZONE);
+    fleet.run(CONVERGENCE);
+    fleet.take_sent_bytes();
+    let seconds = 60;
+    fleet.run(Duration::from_secs(seconds));
+    let quiet = fleet.take_sent_bytes() / DAEMONS_PER_ZONE / seconds as usize;
+    (0..9).for_each(|n| fleet.kill(n * 9));
+    fleet.run(Duration::from_secs(seconds));
+    let churn = fleet.take_sent_bytes() / (DAEMONS_PER_ZONE - 9) / seconds as usize;
+    println!("sent bytes a second and daemon: quiet {quiet}, with 9 of 89 killed {churn}");
+    assert!(quiet < CONTROL_BYTES_PER_SECOND / 2, "{quiet} B/s");
+    assert!(churn < CONTROL_BYTES_PER_SECOND / 2, "{churn} B/s");
+}
