--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,9 @@
-//! Tests of the programs and of the operations behind them.
+//! Tests of the real programs against stand-ins, a module for each topic.
 
 mod api_page;
 mod command;
+mod configuration;
+mod drain;
+mod path;
 mod settings;
+mod support;
