--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -11,6 +11,7 @@
 use kumquattiller_base::request;
 use kumquattiller_base::time::Moment;
 use kumquattiller_clients::Transport;
+use kumquattiller_clients::configuration::Spread;
 use kumquattiller_clients::platform;
 use kumquattiller_inventory::configuration;
 use kumquattiller_link::Clock;
@@ -18,6 +19,8 @@
 use kumquattiller_link::incarnation;
 use kumquattiller_recovery::retry::Budget;
 use kumquattiller_telemetry::Recorder;
+use kumquattiller_wire::Body;
+use kumquattiller_wire::link::Leave;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -28,6 +31,7 @@
 use crate::claims::Claims;
 use crate::http;
 use crate::link;
+use crate::peers;
 use crate::runners::Pool;
 use crate::snapshot::Snapshot;
 use crate::source;
@@ -51,6 +55,8 @@
     platform: platform::Client,
     snapshots: watch::Sender<Arc<Snapshot>>,
     runners: Pool,
+    spread: Spread,
+    peers: peers::Table,
     recorder: Recorder,
     claims: Claims,
     suspects: Suspects,
@@ -84,6 +90,8 @@
             claims_inbox: Mutex::new(Some(claims_inbox)),
             snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
             runners: Pool::default(),
+            spread: Spread::default(),
+            peers: peers::Table::default(),
             recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
@@ -107,6 +115,7 @@
         );
         tokio::spawn(link::run(self.clone(), links));
         tokio::spawn(source::run(self.clone()));
+        tokio::spawn(peers::run(self.clone()));
         self.serve_claims();
         tokio::spawn(suspects::run(self.clone()));
         shutdown.await;
@@ -114,10 +123,29 @@
         Ok(())
     }
 
+    /// Fails readiness from now on.
+    pub fn leave(&self) {
+        if !self.inner.leaving.swap(true, Ordering::SeqCst) {
+            log::info!(daemon:% = self.settings().id; "entry daemon is leaving");
+        }
+    }
+
+    /// Acts on the word that a VM is leaving: stops being ready when it is the own one, tells the
+    /// runner process when there is a link to it.
+    pub fn on_leaving(&self, leave: &Leave) {
+        if leave.runner == self.settings().id.as_str() {
+            self.leave();
+            return;
+        }
+        let remote = leave.runner.parse().ok().and_then(|id| self.runners().get(&id));
+        if let Some(sender) = remote.and_then(|remote| remote.sender()) {
+            sender.try_send(Body::Leave(leave.clone()));
+        }
+    }
+
     /// Fails readiness, then refuses requests, then waits for those under way.
     async fn stop(&self, server: http::Server) {
-        self.inner.leaving.store(true, Ordering::SeqCst);
-        log::info!(daemon:% = self.settings().id; "entry daemon is leaving");
+        self.leave();
         tokio::time::sleep(Duration::from_millis(self.settings().drain_grace_ms)).await;
         self.inner.refusing.store(true, Ordering::SeqCst);
         self.inner.work.close();
@@ -216,10 +244,26 @@
         self.recorder().note(self.now(), request, decision);
     }
 
+    /// Returns the spread of configuration over the links.
+    pub fn spread(&self) -> &Spread {
+        &self.inner.spread
+    }
+
+    /// Returns the entry daemons that this daemon has links to.
+    pub fn peers(&self) -> &peers::Table {
+        &self.inner.peers
+    }
+
+    /// Tells whether a source confirmed the configuration in force lately.
+    pub fn is_fresh(&self) -> bool {
+        self.spread().state(self.now()).is_ready()
+    }
+
     /// Tells whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
         !self.inner.leaving.load(Ordering::SeqCst)
             && self.config_version() != configuration::Version::NONE
+            && self.is_fresh()
     }
 
     /// Tells whether new requests are refused.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,8 @@
 mod claims;
 mod combined;
 mod command;
+mod configuration;
+mod drain;
 mod path;
 mod sessions;
 mod settings;
