entry: no delay of small pieces (TCP_NODELAY) on callers' connections

The stand-ins had the same fault. Ruled out: the links and the client library, which set the option already.

--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! The callers' side over HTTP.
 
+mod acceptor;
 mod answer;
 mod body;
 mod error;
@@ -13,6 +14,7 @@
 mod resume;
 mod server;
 
+pub use acceptor::Acceptor;
 pub use error::Error;
 pub use event_id::EventId;
 pub use server::Server;
--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Daemon;
+use crate::http;
 use crate::http::Error;
 use crate::http::health;
 use crate::http::metrics;
@@ -59,7 +60,7 @@
     let shutdown = CancellationToken::new();
     let signal = shutdown.clone();
     let task = tokio::spawn(async move {
-        let server = poem::Server::new_with_acceptor(acceptor);
+        let server = poem::Server::new_with_acceptor(http::Acceptor::new(acceptor));
         let signal = async move { signal.cancelled().await };
         let run = server.run_with_graceful_shutdown(routes(daemon), signal, Some(DELIVERY_LIMIT));
         if let Err(error) = run.await {
--- a/crates/standins/src/host.rs
+++ b/crates/standins/src/host.rs
@@ -12,6 +12,8 @@
 use poem::listener::TcpAcceptor;
 use tokio::runtime::Runtime;
 
+use crate::acceptor::Acceptor;
+
 /// Pause between attempts to bind a port that is still in use.
 const BIND_RETRY: Duration = Duration::from_millis(2);
 /// Attempts to bind a port that is still in use.
@@ -100,7 +102,7 @@
             let _context = runtime.enter();
             let endpoint = (self.build)(self);
             let acceptor = TcpAcceptor::from_std(listener).expect("the listener is valid");
-            runtime.spawn(poem::Server::new_with_acceptor(acceptor).run(endpoint));
+            runtime.spawn(poem::Server::new_with_acceptor(Acceptor::new(acceptor)).run(endpoint));
         }
         *self.runtime.lock().expect("no thread panicked") = Some(runtime);
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 //! Every server runs on a tokio runtime of its own, so that `kill` drops its tasks, its sockets
 //! and its memory at once, as the end of a process would.
 
+mod acceptor;
 pub mod engine;
 mod host;
 pub mod platform;
