--- a/crates/support/src/fleet/builder.rs
+++ b/crates/support/src/fleet/builder.rs
@@ -3,8 +3,12 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-use kumquattiller_entry::source;
+use kumquattiller_clients::Transport;
+use kumquattiller_clients::configuration;
+use kumquattiller_clients::platform::Client;
 use kumquattiller_inventory::Configuration;
+use kumquattiller_inventory::section::Items;
+use kumquattiller_rollout::commit::Outcome;
 use kumquattiller_standins::engine;
 use kumquattiller_standins::platform;
 use kumquattiller_standins::service;
@@ -124,8 +128,7 @@
             runners.push(self.runner(&folder, ip, index, backend, &url, &platform).await);
         }
         let configuration = self.configuration(&runners);
-        let value = serde_json::to_value(&configuration).expect("configuration is JSON");
-        platform.put(source::KIND, source::NAME, value);
+        accept(&platform.url(), &configuration).await;
         let entries = (0..self.entries).map(|i| self.entry(&folder, ip, i, &platform)).collect();
         let binaries = self.binaries;
         let fleet = Fleet { binaries, folder, ip, platform, entries, runners, configuration };
@@ -221,3 +224,10 @@
     std::fs::write(&file, settings.to_string()).expect("settings can be written");
     file
 }
+
+/// Makes a configuration the accepted one.
+async fn accept(platform: &str, configuration: &Configuration) {
+    let store = configuration::Store::new(Client::new(Transport::new(), platform));
+    let outcome = configuration::commit(&store, Items::of(configuration)).await;
+    assert!(matches!(outcome, Outcome::Accepted(_)), "not accepted: {outcome}");
+}
--- a/xtask/src/slopes/rig.rs
+++ b/xtask/src/slopes/rig.rs
@@ -1,3 +1,4 @@
+use std::process::Command;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -86,7 +87,7 @@
         for index in 0..size.runners {
             rig.add_runner(&starter, &mut configuration, index).await?;
         }
-        put(&rig.platform.url, &configuration).await?;
+        apply(&starter, &rig.platform.url, &configuration)?;
         for index in 0..size.entries {
             let zone = format!("zone-{}", index % 18);
             let id = format!("entry-{index}");
@@ -144,12 +145,17 @@
     }
 }
 
-/// Writes the configuration to the platform.
-async fn put(platform: &str, configuration: &Configuration) -> Outcome {
-    let url = format!("{platform}/objects/configuration/current");
-    let request = reqwest::Client::new().put(url).header("If-None-Match", "*");
-    request.json(configuration).send().await?.error_for_status()?;
-    Ok(())
+/// Makes a configuration the accepted one with the operators' command line.
+fn apply(starter: &Starter, platform: &str, configuration: &Configuration) -> Outcome {
+    let register = starter.write("register", &serde_json::to_value(&configuration.register)?)?;
+    let rules = starter.write("rules", &serde_json::to_value(&configuration.rules)?)?;
+    let output = Command::new(starter.programs().path("kumquattiller"))
+        .args(["apply", "--platform", platform, "--register", &register, "--rules", &rules])
+        .output()?;
+    if output.status.success() {
+        return Ok(());
+    }
+    Err(String::from_utf8(output.stderr)?.into())
 }
 
 /// Measures processes over a time, while `work` runs.
