--- a/tests/testsuite/combined/mod.rs
+++ b/tests/testsuite/combined/mod.rs
@@ -17,9 +17,9 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 
+use crate::combined::fault::Fault;
+use crate::combined::load::Load;
 use crate::support::fleet;
-use fault::Fault;
-use load::Load;
 
 /// Seeds of a run without `KUMQUATTILLER_COMBINED`.
 const DEFAULT_SEEDS: u64 = 2;
--- a/xtask/src/demo/fleet.rs
+++ b/xtask/src/demo/fleet.rs
@@ -1,3 +1,4 @@
+use std::process::Command;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -61,7 +62,7 @@
         };
         fleet.start_runners(&platform.url).await?;
         fleet.start_entries(&platform.url).await?;
-        fleet.apply(&platform.url).await?;
+        fleet.apply(&platform.url)?;
         fleet.standins.push(platform);
         fleet.wait_for_links().await?;
         Ok(fleet)
@@ -98,15 +99,17 @@
         Ok(())
     }
 
-    /// Writes register and rules to the platform as the first configuration.
-    async fn apply(&self, platform: &str) -> Outcome {
-        let configuration = json!({
-            "version": 1, "register": self.inventory.register(), "rules": self.inventory.rules()
-        });
-        let url = format!("{platform}/objects/configuration/current");
-        let request = reqwest::Client::new().put(url).header("If-None-Match", "*");
-        request.json(&configuration).send().await?.error_for_status()?;
-        Ok(())
+    /// Applies register and rules with the operators' command line.
+    fn apply(&self, platform: &str) -> Outcome {
+        let register = self.starter.write("register", self.inventory.register())?;
+        let rules = self.starter.write("rules", self.inventory.rules())?;
+        let program = self.starter.programs().path("kumquattiller");
+        println!("\n$ kumquattiller apply --platform URL --register FILE --rules FILE");
+        let status = Command::new(program)
+            .args(["apply", "--register", &register, "--rules", &rules])
+            .args(["--platform", platform])
+            .status()?;
+        if status.success() { Ok(()) } else { Err(format!("apply ended with {status}").into()) }
     }
 
     /// Waits until every entry daemon is ready and has a link to every runner.
