--- a/crates/memory/src/table.rs
+++ b/crates/memory/src/table.rs
@@ -192,6 +192,19 @@
         }
     }
 
+    /// Notes that the engine does not hold an item, whatever the table knew of it.
+    pub fn forget(&mut self, item: &Item) {
+        self.entries.remove(item);
+    }
+
+    /// Notes a sign of life for the entry daemon that owns an item.
+    pub fn renew_owner(&mut self, item: &Item, now: Moment) {
+        let owner = self.entries.get(item).and_then(Entry::owner);
+        if let Some(Owner::Daemon(daemon)) = owner.cloned() {
+            self.renew(&daemon, now);
+        }
+    }
+
     /// Notes that the engine started again, empty; returns the items that had an owner.
     pub fn engine_restarted(&mut self) -> BTreeSet<Item> {
         let lost = self.owned();
--- a/crates/runner/src/admission.rs
+++ b/crates/runner/src/admission.rs
@@ -2,11 +2,19 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
 use kumquattiller_base::size::Tokens;
+use kumquattiller_base::time::Moment;
+use kumquattiller_link::Clock;
+use kumquattiller_memory::Item;
+use kumquattiller_memory::Limits;
+use kumquattiller_memory::Owner;
+use kumquattiller_memory::Refusal;
+use kumquattiller_memory::Table;
 
-/// Tokens promised to admitted requests.
+/// The owners of the engine's memory; clones share one table.
 #[derive(Debug, Clone)]
 pub struct Account {
     shared: Arc<Shared>,
@@ -14,54 +22,82 @@
 
 #[derive(Debug)]
 struct Shared {
-    capacity: Tokens,
-    promised: Mutex<Tokens>,
+    clock: Clock,
+    table: Mutex<Table>,
 }
 
-/// Tokens promised to one request; they are free again when it is dropped.
+/// Memory promised to one request.
+///
+/// When it is dropped, the item is freed on the engine and counts until the engine confirms that.
 #[derive(Debug)]
 pub struct Promise {
-    shared: Arc<Shared>,
-    tokens: Tokens,
+    held: Option<(Arc<Shared>, Item)>,
 }
 
 impl Account {
     /// Opens the account of an engine.
-    pub fn new(capacity: Tokens) -> Self {
-        Self { shared: Arc::new(Shared { capacity, promised: Mutex::new(Tokens::ZERO) }) }
+    pub fn new(capacity: Tokens, clock: Clock) -> Self {
+        let table = Mutex::new(Table::new(Limits::new(capacity), clock.now()));
+        Self { shared: Arc::new(Shared { clock, table }) }
     }
 
-    /// Promises tokens, or returns `None` when there is no room.
-    pub fn promise(&self, tokens: Tokens) -> Option<Promise> {
-        let mut promised = self.shared.lock();
-        let total = promised.saturating_add(tokens);
-        if total > self.shared.capacity {
-            return None;
-        }
-        *promised = total;
-        Some(Promise { shared: Arc::clone(&self.shared), tokens })
+    /// Promises memory for an item.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no room or the item exists.
+    pub fn promise(&self, item: Item, owner: Owner, tokens: Tokens) -> Result<Promise, Refusal> {
+        let now = self.shared.clock.now();
+        self.table().open(item.clone(), owner, tokens, false, now)?;
+        Ok(Promise { held: Some((Arc::clone(&self.shared), item)) })
     }
 
     /// Returns the tokens promised in all.
     pub fn promised(&self) -> Tokens {
-        *self.shared.lock()
+        self.table().promised()
     }
 
     /// Returns the engine's memory.
     pub fn capacity(&self) -> Tokens {
-        self.shared.capacity
+        self.table().capacity()
+    }
+
+    /// Returns the present moment of the account's clock.
+    pub fn now(&self) -> Moment {
+        self.shared.clock.now()
+    }
+
+    /// Locks the table.
+    pub fn table(&self) -> MutexGuard<'_, Table> {
+        self.shared.lock()
+    }
+}
+
+impl Promise {
+    /// Makes the promise of a backend server without KV memory.
+    pub const fn empty() -> Self {
+        Self { held: None }
+    }
+
+    /// Ends the promise of an item that the engine does not hold.
+    pub fn settle(mut self) {
+        if let Some((shared, item)) = self.held.take() {
+            shared.lock().forget(&item);
+        }
     }
 }
 
 impl Shared {
-    fn lock(&self) -> std::sync::MutexGuard<'_, Tokens> {
-        self.promised.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Drop for Promise {
     fn drop(&mut self) {
-        let mut promised = self.shared.lock();
-        *promised = promised.saturating_sub(self.tokens);
+        if let Some((shared, item)) = self.held.take() {
+            let now = shared.clock.now();
+            shared.lock().close(&item, now);
+        }
     }
 }
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod job;
 pub mod link;
 pub mod process;
+pub mod reconcile;
 pub mod settings;
 pub mod work;
 
--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -4,10 +4,13 @@
 use bytes::Bytes;
 use kumquattiller_base::error;
 use kumquattiller_base::request;
+use kumquattiller_base::service;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_link::Identity;
 use kumquattiller_link::Receiver;
 use kumquattiller_link::Sender;
+use kumquattiller_memory::Daemon;
+use kumquattiller_memory::Owner;
 use kumquattiller_wire::Attempt;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::Error;
@@ -27,13 +30,18 @@
     process: Process,
     sender: Sender,
     peer: Identity,
+    /// The peer as an owner of engine memory.
+    owner: Option<Daemon>,
     incoming: HashMap<Attempt, Incoming>,
 }
 
 impl Session {
     /// Begins a session on an open link.
     pub fn new(process: Process, sender: Sender, peer: Identity) -> Self {
-        Self { process, sender, peer, incoming: HashMap::new() }
+        let id = peer.name.parse().ok();
+        let incarnation = peer.incarnation.into();
+        let owner = id.map(|id| Daemon { id, incarnation });
+        Self { process, sender, peer, owner, incoming: HashMap::new() }
     }
 
     /// Serves frames until the link closes.
@@ -55,6 +63,7 @@
 
     /// Serves one frame.
     async fn serve(&mut self, body: Body) -> Result<(), Error> {
+        self.renew();
         match body {
             Body::Start(start) => self.start(start).await,
             Body::BodyPart(part) => self.body_part(&part).await,
@@ -101,7 +110,14 @@
             return Err(error::Kind::NoRunner);
         }
         let tokens = Tokens::new(start.prompt_tokens.saturating_add(start.max_tokens));
-        self.process.memory().promise(tokens).ok_or(error::Kind::MemoryFull)
+        if self.process.settings().backend.kind == service::Kind::Plain {
+            return Ok(Promise::empty());
+        }
+        let owner = self.owner.clone().ok_or(error::Kind::Internal)?;
+        let attempt = Attempt::from_field(start.attempt).map_err(|_| error::Kind::Internal)?;
+        let item = work::item_of(attempt);
+        let promise = self.process.memory().promise(item, Owner::Daemon(owner), tokens);
+        promise.map_err(|_| error::Kind::MemoryFull)
     }
 
     /// Appends a part of a body.
@@ -205,7 +221,19 @@
         self.send(Body::Heartbeat(reply)).await
     }
 
+    /// Notes a sign of life of the peer for the memory that it owns.
+    fn renew(&self) {
+        if let Some(owner) = &self.owner {
+            self.process.memory().table().renew(owner, self.process.now());
+        }
+    }
+
     fn subscribe(&self, job: Arc<Job>, offset: u64) {
+        if let Some(owner) = &self.owner {
+            let item = work::item_of(job.attempt());
+            // An item that has ended needs no owner.
+            let _ = self.process.memory().table().claim(&item, owner, self.process.now());
+        }
         let sender = self.sender.clone();
         tokio::spawn(subscription::run(self.process.clone(), sender, job, offset));
     }
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -26,6 +26,7 @@
 use crate::http;
 use crate::job;
 use crate::link;
+use crate::reconcile;
 
 /// Time between sweeps of the job table.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -57,6 +58,7 @@
     /// Sets up the state; nothing runs yet.
     pub fn new(settings: Settings) -> Self {
         let transport = Transport::new();
+        let clock = Clock::start();
         let identity = Identity {
             name: settings.id.to_string(),
             incarnation: incarnation::draw(),
@@ -66,10 +68,10 @@
         let inner = Inner {
             engine: engine::Client::new(transport.clone(), &settings.backend.url),
             service: service::Client::new(transport, &settings.backend.url),
-            memory: Account::new(settings.backend.memory),
+            memory: Account::new(settings.backend.memory, clock),
             settings,
             identity,
-            clock: Clock::start(),
+            clock,
             jobs: job::Table::default(),
             recorder: Recorder::default(),
             work: TaskTracker::new(),
@@ -95,6 +97,7 @@
         );
         tokio::spawn(link::run(self.clone(), listener));
         tokio::spawn(self.clone().sweep());
+        tokio::spawn(reconcile::run(self.clone()));
         shutdown.await;
         self.leave();
         self.finish().await;
--- a/crates/runner/src/work/mod.rs
+++ b/crates/runner/src/work/mod.rs
@@ -7,13 +7,20 @@
 
 use bytes::Bytes;
 use kumquattiller_base::service;
+use kumquattiller_memory::Item;
 use kumquattiller_telemetry::traces;
+use kumquattiller_wire::Attempt;
 
 use crate::Process;
 use crate::admission::Promise;
 use crate::job::End;
 use crate::job::Job;
 
+/// Returns what an attempt holds on a model engine.
+pub fn item_of(attempt: Attempt) -> Item {
+    Item::Stream(model::stream_of(attempt).into())
+}
+
 /// Runs a job to its end and records the end.
 ///
 /// The promise of memory is given back only after the backend server has let go of the stream.
@@ -22,15 +29,19 @@
     let context = traces::Context::of(Some(&job.start().trace_parent));
     let span = context.span("backend", id);
     process.recorder().metrics().admitted();
-    let end = match process.settings().backend.kind {
+    let (end, freed) = match process.settings().backend.kind {
         service::Kind::Model => model::run(&process, &job, &body).await,
-        service::Kind::Plain => plain::run(&process, &job, body).await,
+        service::Kind::Plain => (plain::run(&process, &job, body).await, true),
     };
     if let End::Failed { kind, detail, .. } = &end {
         log::warn!(request:% = job.attempt().request, kind:%; "job failed: {detail}");
     }
     drop(span);
-    drop(promise);
+    if freed {
+        promise.settle();
+    } else {
+        drop(promise);
+    }
     record(&process, &job, &end);
     job.finish(end, process.now());
 }
--- a/crates/runner/src/work/model.rs
+++ b/crates/runner/src/work/model.rs
@@ -28,8 +28,8 @@
     format!("{}-{}", attempt.request, attempt.number)
 }
 
-/// Runs a completion; frees its stream on the engine before it returns.
-pub async fn run(process: &Process, job: &Job, body: &Bytes) -> End {
+/// Runs a completion; returns its end and whether the engine is known not to hold its stream.
+pub async fn run(process: &Process, job: &Job, body: &Bytes) -> (End, bool) {
     let left = Duration::from_millis(job.start().left_ms);
     let work = timeout(left, generate(process, job, body));
     let end = tokio::select! {
@@ -39,10 +39,9 @@
         )),
         () = job.cancel().cancelled() => End::failed(error::Kind::Cancelled, "cancelled"),
     };
-    if !matches!(end, End::Refused { .. }) {
-        free(process, &stream_of(job.attempt())).await;
-    }
-    end
+    let freed =
+        matches!(end, End::Refused { .. }) || free(process, &stream_of(job.attempt())).await;
+    (end, freed)
 }
 
 /// Starts the stream and copies its events to the job.
@@ -96,15 +95,17 @@
     })
 }
 
-/// Frees a stream on the engine.
-async fn free(process: &Process, stream: &str) {
+/// Frees a stream on the engine; returns whether the engine confirmed it.
+async fn free(process: &Process, stream: &str) -> bool {
     for _ in 0..CANCEL_TRIES {
         match process.engine().cancel(stream).await {
-            Ok(()) | Err(Error::Fault(Fault::Unsent(_))) => return,
+            Ok(()) => return true,
+            Err(Error::Fault(Fault::Unsent(_))) => return false,
             Err(error) => log::warn!(stream; "stream was not freed: {error}"),
         }
         sleep(CANCEL_PAUSE).await;
     }
+    false
 }
 
 /// Builds the engine's request.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod api_page;
 mod command;
+mod memory;
 mod path;
 mod settings;
 mod support;
--- /dev/null
+++ b/tests/testsuite/memory.rs
@@ -0,0 +1,72 @@
+//! Engine memory comes back within five seconds of a fault.
+
+use std::time::Duration;
+
+use kumquattiller_standins::engine;
+use kumquattiller_support::caller::Caller;
+use kumquattiller_support::fleet::Fleet;
+use kumquattiller_support::fleet::MODEL;
+use kumquattiller_support::wait;
+use test_case::test_case;
+
+use crate::support::fleet;
+
+/// Longest time from a fault until no memory without an owner is held.
+const MEMORY_BOUND: Duration = Duration::from_secs(5);
+/// Tokens of an answer that outlasts every test, at 20 ms a token.
+const LONG_ANSWER_TOKENS: u64 = 100_000;
+/// Longest wait for streams to begin.
+const START_LIMIT: Duration = Duration::from_secs(10);
+
+/// What goes wrong while streams run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    /// SIGKILL of the entry daemon.
+    EntryKilled,
+    /// The link is cut and stays cut.
+    LinkCut,
+    /// SIGKILL of the runner process; the callers leave before it is back.
+    RunnerKilled,
+    /// The callers leave.
+    CallersLeft,
+}
+
+/// Makes a fault happen to a fleet of one engine.
+async fn cause(fault: Fault, fleet: &mut Fleet) {
+    match fault {
+        Fault::EntryKilled => fleet.entries[0].program.kill().await,
+        Fault::LinkCut => fleet.runners[0].relay.close(),
+        Fault::RunnerKilled => fleet.runners[0].program.kill().await,
+        Fault::CallersLeft => {}
+    }
+}
+
+#[test_case(Fault::EntryKilled; "entry daemon killed")]
+#[test_case(Fault::LinkCut; "link cut")]
+#[test_case(Fault::RunnerKilled; "runner process killed")]
+#[test_case(Fault::CallersLeft; "callers left")]
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_comes_back(fault: Fault) {
+    let mut fleet = fleet().entries(1).engines(1).engine(engine::Settings::default()).start().await;
+    let mut streams = Vec::new();
+    for index in 0..3 {
+        let prompt = format!("gas {index} ").repeat(400);
+        let body = Caller::completion(MODEL, &prompt, LONG_ANSWER_TOKENS, true);
+        streams.push(fleet.caller(0).stream(&body).await.expect("answer is streamed"));
+    }
+    wait::until("start of the streams", START_LIMIT, async || {
+        fleet.engine(0).holdings().streams.len() == 3
+    })
+    .await;
+    cause(fault, &mut fleet).await;
+    drop(streams);
+    if fault == Fault::RunnerKilled {
+        assert!(fleet.engine(0).kv_held() > 0, "nobody but a runner process frees memory");
+        let binaries = fleet.binaries.clone();
+        fleet.runners[0].restart(&binaries);
+    }
+    wait::until("release of the engine's memory", MEMORY_BOUND, async || {
+        fleet.engine(0).kv_held() == 0
+    })
+    .await;
+}
