--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -5,10 +5,13 @@
 use bytes::Bytes;
 use kumquattiller_base::error;
 use kumquattiller_base::request;
+use kumquattiller_base::service;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_link::Identity;
 use kumquattiller_link::Receiver;
 use kumquattiller_link::Sender;
+use kumquattiller_memory::Daemon;
+use kumquattiller_memory::Owner;
 use kumquattiller_wire::Attempt;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::Error;
@@ -33,6 +36,8 @@
     process: Process,
     sender: Sender,
     peer: Identity,
+    /// The peer as an owner of engine memory.
+    owner: Option<Daemon>,
     incoming: HashMap<Attempt, Incoming>,
     subscriptions: Subscriptions,
 }
@@ -41,7 +46,10 @@
     /// Begins a session on an open link.
     pub fn new(process: Process, sender: Sender, peer: Identity) -> Self {
         let subscriptions = Subscriptions::new(process.clone(), sender.clone());
-        Self { process, sender, peer, incoming: HashMap::new(), subscriptions }
+        let id = peer.name.parse().ok();
+        let incarnation = peer.incarnation.into();
+        let owner = id.map(|id| Daemon { id, incarnation });
+        Self { process, sender, peer, owner, incoming: HashMap::new(), subscriptions }
     }
 
     /// Serves frames until the link closes.
@@ -73,6 +81,7 @@
 
     /// Serves one frame.
     async fn serve(&mut self, body: Body) -> Result<(), Error> {
+        self.renew();
         if let Some(task) =
             self.process.spread().take(&self.peer.name, &body, self.process.now())?
         {
@@ -95,7 +104,7 @@
     async fn start(&mut self, start: link::Start) -> Result<(), Error> {
         let attempt = Attempt::from_field(start.attempt)?;
         if let Some(job) = self.process.jobs().get(attempt) {
-            self.subscriptions.add(job, 0);
+            self.subscribe(job, 0);
             return Ok(());
         }
         match self.admit(&start) {
@@ -126,7 +135,14 @@
             return Err(error::Kind::NoRunner);
         }
         let tokens = Tokens::new(start.prompt_tokens.saturating_add(start.max_tokens));
-        self.process.memory().promise(tokens).ok_or(error::Kind::MemoryFull)
+        if self.process.settings().backend.kind == service::Kind::Plain {
+            return Ok(Promise::empty());
+        }
+        let owner = self.owner.clone().ok_or(error::Kind::Internal)?;
+        let attempt = Attempt::from_field(start.attempt).map_err(|_| error::Kind::Internal)?;
+        let item = work::item_of(attempt);
+        let promise = self.process.memory().promise(item, Owner::Daemon(owner), tokens);
+        promise.map_err(|_| error::Kind::MemoryFull)
     }
 
     /// Appends a part of a body.
@@ -176,7 +192,7 @@
             load: Some(self.process.load().into()),
         };
         self.send(Body::Accepted(accepted)).await?;
-        self.subscriptions.add(Arc::clone(&job), 0);
+        self.subscribe(Arc::clone(&job), 0);
         if added {
             self.process.spawn(work::run(self.process.clone(), job, body, promise));
         }
@@ -203,7 +219,7 @@
         });
         match job {
             Some(job) => {
-                self.subscriptions.add(job, resume.offset);
+                self.subscribe(job, resume.offset);
                 Ok(())
             }
             None => {
@@ -248,6 +264,22 @@
         self.send(Body::Heartbeat(reply)).await
     }
 
+    /// Notes a sign of life of the peer for the memory that it owns.
+    fn renew(&self) {
+        if let Some(owner) = &self.owner {
+            self.process.memory().table().renew(owner, self.process.now());
+        }
+    }
+
+    fn subscribe(&mut self, job: Arc<Job>, offset: u64) {
+        if let Some(owner) = &self.owner {
+            let item = work::item_of(job.attempt());
+            // An item that has ended needs no owner.
+            let _ = self.process.memory().table().claim(&item, owner, self.process.now());
+        }
+        self.subscriptions.add(job, offset);
+    }
+
     async fn send(&self, body: Body) -> Result<(), Error> {
         self.sender.send(body).await.map_err(|_| Error::Io(std::io::ErrorKind::BrokenPipe.into()))
     }
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -30,6 +30,7 @@
 use crate::http;
 use crate::job;
 use crate::link;
+use crate::reconcile;
 use crate::suspects::Suspects;
 
 /// Time between sweeps of the job table.
@@ -64,6 +65,7 @@
     /// Sets up the state; nothing runs yet.
     pub fn new(settings: Settings) -> Self {
         let transport = Transport::new();
+        let clock = Clock::start();
         let identity = Identity {
             name: settings.id.to_string(),
             incarnation: incarnation::draw(),
@@ -74,10 +76,10 @@
         let inner = Inner {
             engine: engine::Client::new(transport.clone(), &settings.backend.url),
             service: service::Client::new(transport, &settings.backend.url),
-            memory: Account::new(settings.backend.memory),
+            memory: Account::new(settings.backend.memory, clock),
             settings,
             identity,
-            clock: Clock::start(),
+            clock,
             jobs: job::Table::default(),
             suspects,
             recorder: Recorder::default(),
@@ -105,6 +107,7 @@
         );
         tokio::spawn(link::run(self.clone(), listener));
         tokio::spawn(self.clone().sweep());
+        tokio::spawn(reconcile::run(self.clone()));
         shutdown.await;
         self.leave();
         self.finish().await;
