--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -68,7 +68,7 @@
             None => self.attempts().await,
             Some(end) => end,
         };
-        self.note(&format!("ended: {:?}", end.outcome));
+        self.note(&format!("ended: {}", end.outcome));
         self.daemon.recorder().metrics().ended();
         self.daemon.recorder().metrics().outcome(&end.outcome);
         log::info!(
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,9 +1,11 @@
 //! Tests of the real programs against stand-ins, a module for each topic.
 
 mod api_page;
+mod combined;
 mod command;
 mod configuration;
 mod drain;
 mod path;
+mod sessions;
 mod settings;
 mod support;
