--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -255,8 +255,12 @@
     }
 
     /// Tells whether a source confirmed the configuration in force lately.
+    ///
+    /// A version that was adopted and confirmed is put in force a moment later; until then the
+    /// one in force is old.
     pub fn is_fresh(&self) -> bool {
-        self.spread().state(self.now()).is_ready()
+        let spread = self.spread();
+        spread.state(self.now()).is_ready() && spread.version() == self.config_version()
     }
 
     /// Tells whether the balancer may send requests here.
