--- a/tests/testsuite/combined/report.rs
+++ b/tests/testsuite/combined/report.rs
@@ -81,6 +81,7 @@
                 self.posted.contains(&posting.key) || self.unknown.contains_key(&posting.key);
             assert!(known, "seed {seed}: {} ran and its caller was never told", posting.key);
         }
+        assert_eq!(self.silent, 0, "seed {seed}: requests without an answer in time");
         assert_eq!(self.wrong, 0, "seed {seed}: streams that ended as whole and differ");
         assert!(self.whole > 0, "seed {seed}: no stream was whole");
         assert!(!self.posted.is_empty(), "seed {seed}: no posting was answered");
