--- a/xtask/src/demo/fleet.rs
+++ b/xtask/src/demo/fleet.rs
@@ -11,6 +11,7 @@
 use crate::fleet::Programs;
 use crate::fleet::Standin;
 use crate::fleet::Starter;
+use crate::fleet::apply;
 use crate::fleet::wait_until_ready;
 use crate::root;
 
@@ -101,12 +102,9 @@
     /// Writes register and rules to the platform as the first configuration.
     async fn apply(&self, platform: &str) -> Outcome {
         let configuration = json!({
-            "version": 1, "register": self.inventory.register(), "rules": self.inventory.rules()
+            "version": 0, "register": self.inventory.register(), "rules": self.inventory.rules()
         });
-        let url = format!("{platform}/objects/configuration/current");
-        let request = reqwest::Client::new().put(url).header("If-None-Match", "*");
-        request.json(&configuration).send().await?.error_for_status()?;
-        Ok(())
+        apply(platform, &serde_json::from_value(configuration)?).await
     }
 
     /// Waits until every entry daemon is ready and has a link to every runner.
--- a/xtask/src/fleet/mod.rs
+++ b/xtask/src/fleet/mod.rs
@@ -1,10 +1,12 @@
 //! Starts the programs and the stand-ins as processes, and stops them.
 
+mod apply;
 mod build;
 mod process;
 mod ready;
 mod run;
 
+pub use apply::apply;
 pub use build::Programs;
 pub use build::build;
 pub use process::Process;
--- a/xtask/src/slopes/rig.rs
+++ b/xtask/src/slopes/rig.rs
@@ -11,6 +11,7 @@
 use crate::fleet::Programs;
 use crate::fleet::Standin;
 use crate::fleet::Starter;
+use crate::fleet::apply;
 use crate::fleet::wait_until_ready;
 use crate::root;
 use crate::slopes::sample;
@@ -86,7 +87,7 @@
         for index in 0..size.runners {
             rig.add_runner(&starter, &mut configuration, index).await?;
         }
-        put(&rig.platform.url, &configuration).await?;
+        apply(&rig.platform.url, &configuration).await?;
         for index in 0..size.entries {
             let zone = format!("zone-{}", index % 18);
             let id = format!("entry-{index}");
@@ -144,14 +145,6 @@
     }
 }
 
-/// Writes the configuration to the platform.
-async fn put(platform: &str, configuration: &Configuration) -> Outcome {
-    let url = format!("{platform}/objects/configuration/current");
-    let request = reqwest::Client::new().put(url).header("If-None-Match", "*");
-    request.json(configuration).send().await?.error_for_status()?;
-    Ok(())
-}
-
 /// Measures processes over a time, while `work` runs.
 ///
 /// # Errors
