telemetry over the whole path: trace, metrics and decisions tested

Cause: only the export by itself was tested. Two tests with real programs now follow a caller's trace through both daemons to a collector, and a request from /metrics to 'kumquattiller explain'. Spans name process and hop, for the word 'request' stands in every export. Control bytes of links between entry daemons are counted too; the counter is taken, so that each user adds it once.

--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -55,7 +55,7 @@
 
     /// Runs attempts until the request has its outcome, and hands it over.
     pub async fn run(mut self) {
-        let span = self.request.trace.span("request", self.request.id);
+        let span = self.request.trace.span("entry.request", self.request.id);
         self.request.trace = self.request.trace.within(&span);
         self.daemon.recorder().metrics().admitted();
         self.note(&format!(
@@ -150,7 +150,7 @@
     /// Runs one attempt on a runner.
     async fn attempt(&mut self, attempt: Attempt<Unsent>, mut call: Call) -> Ended {
         let number = WireAttempt { request: attempt.request(), number: attempt.number() };
-        let span = self.request.trace.span("attempt", self.request.id);
+        let span = self.request.trace.span("entry.attempt", self.request.id);
         let trace = self.request.trace.within(&span);
         self.note(&format!("attempt {} on runner {}", number.number, call.runner()));
         let sent = attempt.send();
--- a/crates/entry/src/link/session.rs
+++ b/crates/entry/src/link/session.rs
@@ -2,6 +2,7 @@
 use kumquattiller_link::Identity;
 use kumquattiller_link::Receiver;
 use kumquattiller_link::Sender;
+use kumquattiller_telemetry::metrics::LinkKind;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::link;
 use tokio::time::timeout;
@@ -33,6 +34,7 @@
             self.daemon.peers().connected(&self.daemon, name, &self.peer.zone, sender)
         });
         while let Ok(Ok(Some(body))) = timeout(SILENCE_LIMIT, receiver.next()).await {
+            self.count_control(is_daemon);
             if is_daemon && source::take(&self.daemon, name, &body) {
                 continue;
             }
@@ -55,6 +57,13 @@
         }
     }
 
+    /// Counts the control frames since the last frame.
+    fn count_control(&self, is_daemon: bool) {
+        let kind = if is_daemon { LinkKind::Entry } else { LinkKind::Operator };
+        let bytes = self.sender.take_control_bytes();
+        self.daemon.recorder().metrics().control_bytes(kind, bytes);
+    }
+
     /// Answers with the decisions about a request.
     fn explain(&self, question: link::Explain) -> Option<Body> {
         let id = request::Id::from(question.request?);
--- a/crates/entry/src/peers/dialer.rs
+++ b/crates/entry/src/peers/dialer.rs
@@ -3,6 +3,7 @@
 use kumquattiller_link::Link;
 use kumquattiller_link::Receiver;
 use kumquattiller_link::Sender;
+use kumquattiller_telemetry::metrics::LinkKind;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::link;
 use tokio::time::interval;
@@ -63,6 +64,8 @@
     let mut ticks = interval(HEARTBEAT_INTERVAL);
     loop {
         ticks.tick().await;
+        let control = sender.take_control_bytes();
+        daemon.recorder().metrics().control_bytes(LinkKind::Entry, control);
         let config_version = daemon.config_version().get();
         let heartbeat = link::Heartbeat { config_version, ..link::Heartbeat::default() };
         if sender.send(Body::Heartbeat(heartbeat)).await.is_err() {
--- a/crates/entry/src/runners/dialer.rs
+++ b/crates/entry/src/runners/dialer.rs
@@ -121,13 +121,11 @@
 async fn beat(daemon: &Daemon, sender: &Sender) {
     let mut ticks = interval(HEARTBEAT_INTERVAL);
     let mut nonce = 0;
-    let mut counted = 0;
     loop {
         ticks.tick().await;
         nonce += 1;
-        let control = sender.control_bytes();
-        daemon.recorder().metrics().control_bytes(LinkKind::Runner, control - counted);
-        counted = control;
+        let control = sender.take_control_bytes();
+        daemon.recorder().metrics().control_bytes(LinkKind::Runner, control);
         let heartbeat = link::Heartbeat {
             config_version: daemon.config_version().get(),
             load: None,
--- a/crates/link/src/sender.rs
+++ b/crates/link/src/sender.rs
@@ -78,8 +78,8 @@
         self.sent_bytes.load(Ordering::Relaxed)
     }
 
-    /// Returns the bytes of control frames, sent and received, on the link so far.
-    pub fn control_bytes(&self) -> u64 {
-        self.control_bytes.load(Ordering::Relaxed)
+    /// Takes the bytes of control frames, sent and received, on the link since the last call.
+    pub fn take_control_bytes(&self) -> u64 {
+        self.control_bytes.swap(0, Ordering::Relaxed)
     }
 }
--- a/crates/runner/src/work/mod.rs
+++ b/crates/runner/src/work/mod.rs
@@ -20,7 +20,7 @@
 pub async fn run(process: Process, job: Arc<Job>, body: Bytes, promise: Promise) {
     let id = job.attempt().request;
     let context = traces::Context::of(Some(&job.start().trace_parent));
-    let span = context.span("backend", id);
+    let span = context.span("runner.backend", id);
     process.recorder().metrics().admitted();
     let end = match process.settings().backend.kind {
         service::Kind::Model => model::run(&process, &job, &body).await,
--- a/crates/support/src/fleet/builder.rs
+++ b/crates/support/src/fleet/builder.rs
@@ -45,6 +45,7 @@
     service: service::Settings,
     platform: platform::Settings,
     rules: Value,
+    trace_endpoint: Option<String>,
 }
 
 impl Builder {
@@ -59,6 +60,7 @@
             service: service::Settings::default(),
             platform: platform::Settings::default(),
             rules: json!({}),
+            trace_endpoint: None,
         }
     }
 
@@ -104,6 +106,12 @@
         self
     }
 
+    /// Sets where the programs export traces to.
+    pub fn trace_endpoint(mut self, url: String) -> Self {
+        self.trace_endpoint = Some(url);
+        self
+    }
+
     /// Starts the fleet and waits until it serves.
     ///
     /// # Panics
@@ -150,6 +158,7 @@
         let settings = json!({
             "id": id, "region": REGION, "zone": ZONE, "http_address": http,
             "link_address": link, "platform_url": platform.url(), "drain_grace_ms": 300,
+            "trace_endpoint": self.trace_endpoint,
         });
         let file = write(folder, &id, &settings);
         let program = entry::start(&self.binaries, &file);
@@ -177,6 +186,7 @@
             "http_address": address::free_port(ip),
             "backend": {"kind": kind, "url": url, "memory": self.engine.memory.get()},
             "platform_url": platform.url(),
+            "trace_endpoint": self.trace_endpoint,
         });
         let file = write(folder, &id, &settings);
         let program = runner::start(&self.binaries, &file);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,3 +7,4 @@
 mod sessions;
 mod settings;
 mod support;
+mod telemetry;
--- a/xtask/src/slopes/measure/daemons.rs
+++ b/xtask/src/slopes/measure/daemons.rs
@@ -36,7 +36,7 @@
         cores.push((x, rig::mean(used.iter().map(|u| u.cores))));
         control.push((x, (after - before) / IDLE.as_secs_f64()));
     }
-    let by = "entry daemons, with 8 runners";
+    let by = "entry daemons in one availability zone, with 8 runners";
     Ok(vec![
         Series::new("entry.daemons.memory", "mean resident memory, idle", by, "B", memory),
         Series::new("entry.daemons.cores", "mean processor time, idle", by, "cores", cores),
