--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod api_page;
 mod combined;
 mod command;
+mod files;
 mod path;
 mod sessions;
 mod settings;
