--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -16,6 +17,7 @@
 use kumquattiller_link::Clock;
 use kumquattiller_link::Identity;
 use kumquattiller_link::incarnation;
+use kumquattiller_recovery::retry::Budget;
 use kumquattiller_telemetry::Recorder;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::link::Leave;
@@ -33,6 +35,8 @@
 use crate::runners::Pool;
 use crate::snapshot::Snapshot;
 use crate::source;
+use crate::suspects;
+use crate::suspects::Suspects;
 
 /// Longest wait at a stop for outcomes to be recorded.
 const CLAIMS_FLUSH_LIMIT: Duration = Duration::from_secs(5);
@@ -55,6 +59,8 @@
     peers: peers::Table,
     recorder: Recorder,
     claims: Claims,
+    suspects: Suspects,
+    retries: Mutex<Budget>,
     claims_inbox: Mutex<Option<claims::Inbox>>,
     work: TaskTracker,
     leaving: AtomicBool,
@@ -79,6 +85,8 @@
             identity,
             clock,
             claims,
+            suspects: Suspects::default(),
+            retries: Mutex::default(),
             claims_inbox: Mutex::new(Some(claims_inbox)),
             snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
             runners: Pool::default(),
@@ -107,8 +115,9 @@
         );
         tokio::spawn(link::run(self.clone(), links));
         tokio::spawn(source::run(self.clone()));
-        self.serve_claims();
         tokio::spawn(peers::run(self.clone()));
+        self.serve_claims();
+        tokio::spawn(suspects::run(self.clone()));
         shutdown.await;
         self.stop(server).await;
         Ok(())
@@ -155,6 +164,16 @@
         }
     }
 
+    /// Returns the requests that ran when engines died.
+    pub fn suspects(&self) -> &Suspects {
+        &self.inner.suspects
+    }
+
+    /// Returns the retries that may still be made.
+    pub fn retries(&self) -> MutexGuard<'_, Budget> {
+        self.inner.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the claims of non-idempotent requests.
     pub fn claims(&self) -> &Claims {
         &self.inner.claims
@@ -236,8 +255,12 @@
     }
 
     /// Tells whether a source confirmed the configuration in force lately.
+    ///
+    /// A version that was adopted and confirmed is put in force a moment later; until then the
+    /// one in force is old.
     pub fn is_fresh(&self) -> bool {
-        self.spread().state(self.now()).is_ready()
+        let spread = self.spread();
+        spread.state(self.now()).is_ready() && spread.version() == self.config_version()
     }
 
     /// Tells whether the balancer may send requests here.
--- a/crates/entry/src/peers/chosen.rs
+++ b/crates/entry/src/peers/chosen.rs
@@ -17,16 +17,24 @@
     pub address: SocketAddr,
 }
 
+impl Chosen {
+    /// Tells whether a line of the list is about this daemon.
+    pub fn is(&self, vm: &Vm) -> bool {
+        vm.name == self.name && vm.address.parse() == Ok(self.address)
+    }
+}
+
 /// Chooses the daemons that the daemon `own` of `zone` opens links to.
 ///
-/// Within the zone the daemon with the lower name opens the link.
-pub fn choose(own: &str, zone: &str, vms: &[Vm]) -> Vec<Chosen> {
+/// Within the zone the daemon with the lower name opens the link. The other one does so when
+/// there is none, as the lower one may have started while the list cannot be read.
+pub fn choose(own: &str, zone: &str, vms: &[Vm], is_linked: impl Fn(&str) -> bool) -> Vec<Chosen> {
     let mut chosen = Vec::new();
     let mut far: BTreeMap<&str, Vec<&Vm>> = BTreeMap::new();
     for vm in vms.iter().filter(|vm| vm.role == ENTRY_ROLE && vm.name != own) {
         if vm.zone != zone {
             far.entry(&vm.zone).or_default().push(vm);
-        } else if own < vm.name.as_str() {
+        } else if own < vm.name.as_str() || !is_linked(&vm.name) {
             chosen.extend(read(vm));
         }
     }
--- a/crates/entry/src/peers/list.rs
+++ b/crates/entry/src/peers/list.rs
@@ -18,19 +18,22 @@
 /// Time between reads of the list by the other daemons.
 const OTHERS_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Follows the platform's list of VMs until the daemon stops.
+/// Follows the platform's list of VMs until the daemon stops; while it cannot be read, the list
+/// that was read last.
 pub async fn run(daemon: Daemon) {
     let mut dialers = HashMap::new();
+    let mut vms = Vec::new();
     let mut next_read = Instant::now();
     while !daemon.stopped().is_cancelled() {
         let watches = daemon.peers().is_watcher(&daemon);
         if watches || Instant::now() >= next_read {
             next_read = Instant::now() + OTHERS_INTERVAL;
             match daemon.platform().vms().await {
-                Ok(list) => follow(&daemon, &list.vms, &mut dialers),
+                Ok(list) => vms = list.vms,
                 Err(error) => log::debug!("list of VMs was not read: {error}"),
             }
         }
+        follow(&daemon, &vms, &mut dialers);
         tokio::select! {
             () = sleep(WATCHER_INTERVAL) => {}
             () = daemon.stopped().cancelled() => {}
@@ -43,9 +46,10 @@
 /// are leaving.
 fn follow(daemon: &Daemon, vms: &[Vm], dialers: &mut HashMap<Chosen, AbortHandle>) {
     let settings = daemon.settings();
-    let chosen = choose(settings.id.as_str(), settings.zone.as_str(), vms);
+    let is_linked = |name: &str| daemon.peers().is_linked(name);
+    let chosen = choose(settings.id.as_str(), settings.zone.as_str(), vms, is_linked);
     dialers.retain(|peer, dialer| {
-        let stays = chosen.contains(peer);
+        let stays = vms.iter().any(|vm| peer.is(vm));
         if !stays {
             dialer.abort();
         }
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -6,7 +6,6 @@
 use kumquattiller_clients::configuration;
 use kumquattiller_link::Sender;
 use kumquattiller_rollout::spread::is_watcher;
-use kumquattiller_wire::Body;
 
 use crate::Daemon;
 
@@ -20,7 +19,6 @@
 struct Peer {
     name: String,
     zone: String,
-    sender: Sender,
 }
 
 /// An open link in the table; dropping it takes it out.
@@ -40,8 +38,8 @@
 impl Table {
     /// Adds an open link to another entry daemon.
     pub fn connected(&self, daemon: &Daemon, name: &str, zone: &str, sender: Sender) -> Guard {
-        let link = daemon.spread().connected(name, sender.clone());
-        let peer = Peer { name: name.to_owned(), zone: zone.to_owned(), sender };
+        let link = daemon.spread().connected(name, sender);
+        let peer = Peer { name: name.to_owned(), zone: zone.to_owned() };
         self.lock().insert(link, peer);
         Guard { daemon: daemon.clone(), link }
     }
@@ -54,11 +52,9 @@
         is_watcher(zone, daemon.settings().id.as_str(), members)
     }
 
-    /// Sends a frame to every daemon with a link that has room.
-    pub fn tell_all(&self, body: &Body) {
-        for peer in self.lock().values() {
-            peer.sender.try_send(body.clone());
-        }
+    /// Tells whether there is an open link to a daemon.
+    pub fn is_linked(&self, name: &str) -> bool {
+        self.lock().values().any(|peer| peer.name == name)
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<configuration::Link, Peer>> {
--- a/crates/entry/src/source/mod.rs
+++ b/crates/entry/src/source/mod.rs
@@ -10,6 +10,8 @@
 
 use kumquattiller_clients::configuration::Task;
 use kumquattiller_inventory::Configuration;
+use kumquattiller_inventory::diff::Delta;
+use kumquattiller_inventory::section::Items;
 use kumquattiller_wire::Body;
 use tokio::time::interval;
 
@@ -47,6 +49,14 @@
     true
 }
 
+/// Puts in force a configuration that the store holds now.
+pub fn accept(daemon: &Daemon, configuration: &Configuration) {
+    let items = Items::of(configuration);
+    let whole = Arc::new(Delta::whole(configuration.version, &items));
+    let now = daemon.now();
+    finish(daemon, daemon.spread().take_from_store(&whole, now, now));
+}
+
 /// Does what the spread asks for.
 fn finish(daemon: &Daemon, task: Task) {
     if let Some(configuration) = task.adopt {
--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -1,16 +1,12 @@
 //! Requests that are refused before anything is sent: each gets its kind, its status and the
 //! proof that it did not run, and the daemon goes on serving.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use kumquattiller_entry::Daemon;
 use kumquattiller_entry::http;
-use kumquattiller_entry::snapshot::Snapshot;
+use kumquattiller_entry::source;
 use kumquattiller_inventory::Configuration;
-use kumquattiller_inventory::Version;
-use kumquattiller_inventory::diff::Delta;
-use kumquattiller_inventory::section::Items;
 use reqwest::Client;
 use reqwest::RequestBuilder;
 use serde_json::Value;
@@ -51,7 +47,7 @@
     });
     let daemon = Daemon::new(serde_json::from_value(settings).expect("settings are valid"));
     if configured {
-        put_in_force(&daemon);
+        source::accept(&daemon, &configuration());
     }
     let server = http::start(daemon).await.expect("daemon can listen");
     let url = format!("http://{}", server.address());
@@ -59,16 +55,6 @@
     url
 }
 
-/// Puts the configuration in force as one that the store has confirmed now.
-fn put_in_force(daemon: &Daemon) {
-    let configuration = configuration();
-    let items = Items::of(&configuration);
-    let none = Items::default();
-    let delta = Delta::between((Version::NONE, &none), (configuration.version, &items));
-    daemon.spread().take_from_store(&Arc::new(delta), daemon.now(), daemon.now());
-    daemon.snapshots().send_replace(Arc::new(Snapshot::new(configuration)));
-}
-
 async fn answer(request: RequestBuilder) -> (u16, Value) {
     let response = request.timeout(TIMEOUT).send().await.expect("an answer");
     let status = response.status().as_u16();
--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -1,13 +1,17 @@
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use kumquattiller_base::error;
 use kumquattiller_base::request;
+use kumquattiller_base::service;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_link::Identity;
 use kumquattiller_link::Receiver;
 use kumquattiller_link::Sender;
+use kumquattiller_memory::Daemon;
+use kumquattiller_memory::Owner;
 use kumquattiller_wire::Attempt;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::Error;
@@ -18,9 +22,11 @@
 use crate::job::Job;
 use crate::link::frames;
 use crate::link::incoming::Incoming;
-use crate::link::subscription;
+use crate::link::subscriptions::Subscriptions;
 use crate::work;
 
+/// When a suspect is to be tried again that was refused for another one's sake.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(200);
 /// Role of entry daemons on a link.
 const ENTRY_ROLE: &str = "entry";
 
@@ -30,13 +36,20 @@
     process: Process,
     sender: Sender,
     peer: Identity,
+    /// The peer as an owner of engine memory.
+    owner: Option<Daemon>,
     incoming: HashMap<Attempt, Incoming>,
+    subscriptions: Subscriptions,
 }
 
 impl Session {
     /// Begins a session on an open link.
     pub fn new(process: Process, sender: Sender, peer: Identity) -> Self {
-        Self { process, sender, peer, incoming: HashMap::new() }
+        let subscriptions = Subscriptions::new(process.clone(), sender.clone());
+        let id = peer.name.parse().ok();
+        let incarnation = peer.incarnation.into();
+        let owner = id.map(|id| Daemon { id, incarnation });
+        Self { process, sender, peer, owner, incoming: HashMap::new(), subscriptions }
     }
 
     /// Serves frames until the link closes.
@@ -68,6 +81,7 @@
 
     /// Serves one frame.
     async fn serve(&mut self, body: Body) -> Result<(), Error> {
+        self.renew();
         if let Some(task) =
             self.process.spread().take(&self.peer.name, &body, self.process.now())?
         {
@@ -121,7 +135,14 @@
             return Err(error::Kind::NoRunner);
         }
         let tokens = Tokens::new(start.prompt_tokens.saturating_add(start.max_tokens));
-        self.process.memory().promise(tokens).ok_or(error::Kind::MemoryFull)
+        if self.process.settings().backend.kind == service::Kind::Plain {
+            return Ok(Promise::empty());
+        }
+        let owner = self.owner.clone().ok_or(error::Kind::Internal)?;
+        let attempt = Attempt::from_field(start.attempt).map_err(|_| error::Kind::Internal)?;
+        let item = work::item_of(attempt);
+        let promise = self.process.memory().promise(item, Owner::Daemon(owner), tokens);
+        promise.map_err(|_| error::Kind::MemoryFull)
     }
 
     /// Appends a part of a body.
@@ -153,12 +174,17 @@
 
     /// Creates the job, tells the entry daemon and starts the work.
     async fn accept(
-        &self,
+        &mut self,
         attempt: Attempt,
         start: link::Start,
         body: Bytes,
         promise: Promise,
     ) -> Result<(), Error> {
+        if !self.process.suspects().enter(attempt, &start) {
+            let load = self.process.load();
+            let kind = error::Kind::Overloaded;
+            return self.send(frames::refused(attempt, kind, Some(SUSPECT_PAUSE), load)).await;
+        }
         let (job, added) = self.process.jobs().add(Job::new(attempt, start));
         let accepted = link::Accepted {
             attempt: Some(attempt.into()),
@@ -173,18 +199,19 @@
         Ok(())
     }
 
-    /// Cancels an attempt.
+    /// Cancels an attempt, or stops copying its answer to this link.
     fn cancel(&mut self, cancel: link::Cancel) -> Result<(), Error> {
         let attempt = Attempt::from_field(cancel.attempt)?;
         self.incoming.remove(&attempt);
-        if let Some(job) = self.process.jobs().get(attempt) {
+        self.subscriptions.end(attempt);
+        if let Some(job) = self.process.jobs().get(attempt).filter(|_| !cancel.detach) {
             job.cancel().cancel();
         }
         Ok(())
     }
 
     /// Continues an attempt that was started through another link.
-    async fn resume(&self, resume: &link::Resume) -> Result<(), Error> {
+    async fn resume(&mut self, resume: &link::Resume) -> Result<(), Error> {
         let attempt = Attempt::from_field(resume.attempt)?;
         let own = resume.incarnation == self.process.identity().incarnation;
         let job = self.process.jobs().get(attempt).filter(|job| {
@@ -237,9 +264,20 @@
         self.send(Body::Heartbeat(reply)).await
     }
 
-    fn subscribe(&self, job: Arc<Job>, offset: u64) {
-        let sender = self.sender.clone();
-        tokio::spawn(subscription::run(self.process.clone(), sender, job, offset));
+    /// Notes a sign of life of the peer for the memory that it owns.
+    fn renew(&self) {
+        if let Some(owner) = &self.owner {
+            self.process.memory().table().renew(owner, self.process.now());
+        }
+    }
+
+    fn subscribe(&mut self, job: Arc<Job>, offset: u64) {
+        if let Some(owner) = &self.owner {
+            let item = work::item_of(job.attempt());
+            // An item that has ended needs no owner.
+            let _ = self.process.memory().table().claim(&item, owner, self.process.now());
+        }
+        self.subscriptions.add(job, offset);
     }
 
     async fn send(&self, body: Body) -> Result<(), Error> {
--- a/crates/support/src/fleet/builder.rs
+++ b/crates/support/src/fleet/builder.rs
@@ -4,9 +4,11 @@
 use std::path::PathBuf;
 
 use kumquattiller_clients::Transport;
-use kumquattiller_clients::configuration;
+use kumquattiller_clients::configuration::Store;
+use kumquattiller_clients::configuration::commit;
 use kumquattiller_clients::platform::Client;
 use kumquattiller_inventory::Configuration;
+use kumquattiller_inventory::Version;
 use kumquattiller_inventory::section::Items;
 use kumquattiller_rollout::commit::Outcome;
 use kumquattiller_standins::engine;
@@ -136,8 +138,13 @@
             runners.push(self.runner(&folder, ip, index, backend, &url, &platform).await);
         }
         let configuration = self.configuration(&runners);
-        accept(&platform.url(), &configuration).await;
-        let entries = (0..self.entries).map(|i| self.entry(&folder, ip, i, &platform)).collect();
+        let client = Client::new(Transport::new(), &platform.url());
+        let items = Items::of(&configuration);
+        let outcome = commit(&Store::new(client), items).await;
+        assert_eq!(outcome, Outcome::Accepted(Version::new(1)));
+        let entries: Vec<Entry> =
+            (0..self.entries).map(|i| self.entry(&folder, ip, i, &platform)).collect();
+        entries.iter().for_each(|entry| platform.set_vm(entry.vm(ZONE)));
         let binaries = self.binaries;
         let fleet = Fleet { binaries, folder, ip, platform, entries, runners, configuration };
         fleet.ready().await;
@@ -234,10 +241,3 @@
     std::fs::write(&file, settings.to_string()).expect("settings can be written");
     file
 }
-
-/// Makes a configuration the accepted one.
-async fn accept(platform: &str, configuration: &Configuration) {
-    let store = configuration::Store::new(Client::new(Transport::new(), platform));
-    let outcome = configuration::commit(&store, Items::of(configuration)).await;
-    assert!(matches!(outcome, Outcome::Accepted(_)), "not accepted: {outcome}");
-}
