docs: capacity at the two-year size, from measured slopes

Cause: the users ask for the page now. 'cargo xtask slopes' ran the released programs with up to 128 runner processes and 32 entry daemons; the tables come from docs/capacity/slopes.json and a test checks that they agree (a changed digit made it fail). Ruled out for now: slower heartbeats, as the detection of frozen runner processes rests on them. Conclusion: the page, the tool and the result stand; measured on a machine that other builds kept busy (load 15 to 25 on 10 cores).

--- a/xtask/src/slopes/target.rs
+++ b/xtask/src/slopes/target.rs
@@ -13,8 +13,20 @@
 pub const ACCOUNTS: f64 = 3_200.0;
 /// Changes of configuration a day.
 pub const CHANGES_PER_DAY: f64 = 31_000.0;
+/// Items of the configuration for a client account: its line in the register and its rule.
+const ITEMS_PER_ACCOUNT: f64 = 2.0;
 /// Links of a daemon that keeps a subset of the runners.
 pub const SUBSET: f64 = 64.0;
+/// Links of a daemon to other daemons: 88 of its availability zone and 2 of each of 17 others.
+pub const PEERS: f64 = 122.0;
+/// Reads a second of a watcher: a waiting watch of 2 s, and the list of VMs twice a second.
+const WATCHER_READS: f64 = 2.5;
+/// Watchers: 3 of each availability zone.
+const WATCHERS: f64 = 54.0;
+/// Reads a second of every other daemon: the list of VMs every 10 s.
+const OTHER_READS: f64 = 0.1;
+/// Reads a second that the store takes.
+const READ_LIMIT: f64 = 2_000.0;
 /// Seconds of a day.
 const DAY_S: f64 = 86_400.0;
 /// Bytes of a megabyte, as in the limit of 256 MB.
@@ -51,12 +63,16 @@
 ///
 /// Fails when a series is missing.
 pub fn figures(results: &Results) -> Result<Vec<Figure>, Failure> {
+    let last = |name: &str| {
+        let series = results.get(name).and_then(|s| s.points.last());
+        series.map(|point| point.1).ok_or_else(|| Failure::from(format!("no {name}")))
+    };
     let line = |name: &str| {
         results.get(name).map(|s| s.line).ok_or_else(|| Failure::from(format!("no {name}")))
     };
     let rate = REQUESTS_PER_SECOND / DAEMONS;
     let accounts = line("entry.accounts.memory")?.slope * ACCOUNTS;
-    let held = line("held.runners")?.slope * RUNNERS;
+    let held = line("entry.accounts.memory")?.slope / ITEMS_PER_ACCOUNT * RUNNERS;
     let streams = line("entry.rate.memory")?.slope * rate;
     let memory = |links: f64| -> Result<f64, Failure> {
         Ok(line("entry.links.memory")?.at(links) + accounts + streams)
@@ -76,7 +92,7 @@
         Figure {
             role: entry,
             what: "memory, with links to 64 runners and the whole register",
-            from: "entry.links.memory at 64 + entry.accounts.memory × 3,200 + entry.rate.memory × 46.25 + held.runners × 10,000",
+            from: "entry.links.memory at 64 + entry.accounts.memory × 3,200 + entry.rate.memory × 46.25 + entry.accounts.memory / 2 × 10,000, for a client account is two items of the configuration and a runner one",
             value: memory(SUBSET)? + held,
             unit: "B",
             limit: Some(MEMORY_LIMIT),
@@ -97,6 +113,23 @@
             unit: "B/s",
             limit: Some(CONTROL_LIMIT),
         },
+        Figure {
+            role: entry,
+            what: "control, of links to 122 other daemons",
+            from: "entry.daemons.control, slope × 122",
+            value: line("entry.daemons.control")?.slope * PEERS,
+            unit: "B/s",
+            limit: Some(CONTROL_LIMIT),
+        },
+        Figure {
+            role: entry,
+            what: "control, with links to 64 runners and 122 daemons",
+            from: "entry.links.control at 64 + entry.daemons.control, slope × 122",
+            value: line("entry.links.control")?.at(SUBSET)
+                + line("entry.daemons.control")?.slope * PEERS,
+            unit: "B/s",
+            limit: Some(CONTROL_LIMIT),
+        },
         Figure {
             role: entry,
             what: "processor time of control, with links to every runner",
@@ -124,8 +157,8 @@
         Figure {
             role: runner,
             what: "memory, idle",
-            from: "runner.memory, mean of its points",
-            value: line("runner.memory")?.intercept,
+            from: "runner.memory at 128, measured there",
+            value: last("runner.memory")?,
             unit: "B",
             limit: Some(MEMORY_LIMIT),
         },
@@ -141,7 +174,7 @@
             role: store,
             what: "manifest of the configuration",
             from: "store.manifest at 10,000, measured there",
-            value: line("store.manifest")?.at(RUNNERS),
+            value: last("store.manifest")?,
             unit: "B",
             limit: Some(VALUE_LIMIT),
         },
@@ -149,7 +182,7 @@
             role: store,
             what: "largest shard of the configuration",
             from: "store.largest_shard at 10,000, measured there",
-            value: line("store.largest_shard")?.at(RUNNERS),
+            value: last("store.largest_shard")?,
             unit: "B",
             limit: Some(VALUE_LIMIT),
         },
@@ -157,10 +190,18 @@
             role: store,
             what: "bytes of shards written by a change",
             from: "store.change at 10,000, measured there",
-            value: line("store.change")?.at(RUNNERS),
+            value: last("store.change")?,
             unit: "B",
             limit: None,
         },
+        Figure {
+            role: store,
+            what: "reads, on the mean",
+            from: "arithmetic: 54 watchers × 2.5/s + 1,546 other daemons × 0.1/s",
+            value: WATCHERS * WATCHER_READS + (DAEMONS - WATCHERS) * OTHER_READS,
+            unit: "reads/s",
+            limit: Some(READ_LIMIT),
+        },
         Figure {
             role: store,
             what: "changes, on the mean",
