--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -48,7 +48,7 @@
 
     /// Runs attempts until the request has its outcome, and hands it over.
     pub async fn run(mut self) {
-        let span = self.request.trace.span("request", self.request.id);
+        let span = self.request.trace.span("entry.request", self.request.id);
         self.request.trace = self.request.trace.within(&span);
         self.daemon.recorder().metrics().admitted();
         self.note(&format!(
