entry, runner: routing tables, choice by policy and the admission gate

The entry daemon keeps a table for each service, fed by links, and picks runners by the kumquattiller policy; the reason is noted for explain. It links to its subset. The runner process asks the gate, which holds, admits or refuses with its own time to try again; a held attempt does not block its link.

The gate learns how long requests take, since engines may be faster than assumed.

--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -117,14 +117,21 @@
             if self.tried.len() >= MAX_RUNNERS {
                 return not_run(attempt, reason.0, reason.1);
             }
-            let Some(call) = self.daemon.runners().choose(&self.request, &self.tried) else {
+            let now = self.daemon.now();
+            let chosen = self.daemon.runners().choose(&self.request, &self.tried, now);
+            let Some((call, why)) = chosen else {
                 return not_run(attempt, reason.0, reason.1);
             };
+            self.note(&format!("chose runner {}: {why}", call.runner()));
             self.tried.push(call.runner().clone());
             if !self.permit.start(self.daemon.claims()) {
                 return not_run(attempt, error::Kind::DeadlineExpired, None);
             }
-            match self.attempt(attempt, call).await {
+            let ended = self.attempt(attempt, call).await;
+            if let Some(runner) = self.tried.last() {
+                self.daemon.runners().routes().finished(&self.request.service, runner);
+            }
+            match ended {
                 Ended::With(end) => return end,
                 Ended::Refused(sent, kind, retry_after) => {
                     self.note(&format!("the runner refused: {kind}"));
--- a/crates/entry/src/http/models.rs
+++ b/crates/entry/src/http/models.rs
@@ -73,6 +73,7 @@
     let request = Admitted {
         id,
         fingerprint: Fingerprint::of(&account, ENGINE_PATH, &data),
+        rank: snapshot.rank_of(&account),
         account,
         service,
         model: Some(model),
--- a/crates/entry/src/http/plain.rs
+++ b/crates/entry/src/http/plain.rs
@@ -70,6 +70,7 @@
     let request = Admitted {
         id,
         fingerprint: Fingerprint::of(&account, &format!("{method} {service}{path}"), &data),
+        rank: snapshot.rank_of(&account),
         account,
         service,
         model: None,
--- a/crates/entry/src/request/admitted.rs
+++ b/crates/entry/src/request/admitted.rs
@@ -15,6 +15,8 @@
     pub id: request::Id,
     /// The client account.
     pub account: account::Id,
+    /// The account's rank under overload; 0 is served first.
+    pub rank: account::Rank,
     /// The service.
     pub service: service::Name,
     /// The model; absent for plain services.
--- a/crates/entry/src/runners/call.rs
+++ b/crates/entry/src/runners/call.rs
@@ -105,6 +105,7 @@
         fingerprint_high: (request.fingerprint.get() >> 64) as u64,
         fingerprint_low: request.fingerprint.get() as u64,
         incarnation,
+        rank: u32::from(request.rank.get()),
         ..link::Start::default()
     }
 }
--- a/crates/entry/src/runners/dialer.rs
+++ b/crates/entry/src/runners/dialer.rs
@@ -34,6 +34,7 @@
         () = stopped.cancelled() => {}
     }
     remote.disconnected();
+    daemon.runners().routes().refresh(&remote);
 }
 
 /// Connects again and again.
@@ -46,6 +47,7 @@
                 pause = FIRST_PAUSE;
                 serve(daemon, remote, link).await;
                 remote.disconnected();
+                daemon.runners().routes().refresh(remote);
             }
             Ok(link) => {
                 let id = &remote.runner().id;
@@ -62,6 +64,7 @@
 async fn serve(daemon: &Daemon, remote: &Remote, link: Link) {
     let load = link.load.map(Load::from).unwrap_or_default();
     remote.connected(link.sender.clone(), link.peer.incarnation, load, daemon.now());
+    daemon.runners().routes().refresh(remote);
     log::info!(runner:% = remote.runner().id; "link is open");
     tokio::select! {
         () = receive(daemon, remote, link.receiver) => {}
@@ -93,6 +96,7 @@
     if let Body::Heartbeat(heartbeat) = body {
         if let Some(load) = heartbeat.load {
             remote.report(load.into(), daemon.now());
+            daemon.runners().routes().refresh(remote);
         }
         return;
     }
@@ -100,6 +104,7 @@
         Ok(Some((attempt, reply, load))) => {
             if let Some(load) = load {
                 remote.report(load, daemon.now());
+                daemon.runners().routes().refresh(remote);
             }
             if !remote.deliver(attempt, reply) {
                 log::debug!(request:% = attempt.request; "frame of another attempt was dropped");
--- a/crates/entry/src/runners/mod.rs
+++ b/crates/entry/src/runners/mod.rs
@@ -5,8 +5,10 @@
 mod pool;
 mod remote;
 mod reply;
+mod routes;
 
 pub use call::Call;
 pub use pool::Pool;
 pub use remote::Remote;
 pub use reply::Reply;
+pub use routes::Routes;
--- a/crates/entry/src/runners/pool.rs
+++ b/crates/entry/src/runners/pool.rs
@@ -4,12 +4,23 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use kumquattiller_base::place;
 use kumquattiller_base::runner;
+use kumquattiller_base::service;
+use kumquattiller_base::time::Moment;
+use kumquattiller_inventory::register;
+use kumquattiller_inventory::register::Register;
+use kumquattiller_routing::choice::Reason;
+use kumquattiller_routing::subset;
+use kumquattiller_routing::subset::Place;
+use kumquattiller_routing::subset::Sizes;
+use kumquattiller_routing::table::Distance;
 
 use crate::Daemon;
 use crate::request::Admitted;
 use crate::runners::Call;
 use crate::runners::Remote;
+use crate::runners::Routes;
 use crate::runners::dialer;
 use crate::snapshot::Snapshot;
 
@@ -17,39 +28,50 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     remotes: Mutex<HashMap<runner::Id, Arc<Remote>>>,
+    routes: Routes,
 }
 
 impl Pool {
-    /// Opens links to new runners and closes those to runners that left the register.
+    /// Opens links to new runners of the daemon's subset and closes those that left it.
     pub fn follow(&self, daemon: &Daemon, snapshot: &Snapshot) {
-        let register = &snapshot.configuration().register;
+        let wanted = wanted(daemon, &snapshot.configuration().register);
         let mut remotes = self.lock();
         remotes.retain(|_, remote| {
-            let stays = register.runners.contains(remote.runner());
+            let runner = remote.runner();
+            let stays = wanted.get(&runner.id).is_some_and(|(r, _)| *r == runner);
             if !stays {
+                self.routes.remove(runner);
                 remote.removed().cancel();
             }
             stays
         });
-        for runner in &register.runners {
+        for (runner, distance) in wanted.into_values() {
             if remotes.contains_key(&runner.id) {
                 continue;
             }
             let remote = Arc::new(Remote::new(runner.clone()));
+            self.routes.insert(runner, distance);
             remotes.insert(runner.id.clone(), Arc::clone(&remote));
             tokio::spawn(dialer::run(daemon.clone(), remote));
         }
     }
 
-    /// Chooses a runner for a request among those not tried yet.
-    pub fn choose(&self, request: &Admitted, tried: &[runner::Id]) -> Option<Call> {
-        let remotes = self.lock();
-        let fits = |remote: &&Arc<Remote>| {
-            let runner = remote.runner();
-            runner.service == request.service && remote.is_usable() && !tried.contains(&runner.id)
-        };
-        let remote = remotes.values().filter(fits).min_by_key(|remote| remote.outstanding())?;
-        Some(Call::new(Arc::clone(remote), remote.sender()?))
+    /// Chooses a runner for a request among those not tried yet, and tells why.
+    pub fn choose(
+        &self,
+        request: &Admitted,
+        tried: &[runner::Id],
+        now: Moment,
+    ) -> Option<(Call, Reason)> {
+        let choice = self.routes.choose(request, tried, now).ok()?;
+        let remote = self.get(&choice.runner)?;
+        let sender = remote.sender()?;
+        Some((Call::new(remote, sender), choice.reason))
+    }
+
+    /// Returns the routing tables.
+    pub const fn routes(&self) -> &Routes {
+        &self.routes
     }
 
     /// Returns a runner by its id.
@@ -66,3 +88,37 @@
         self.remotes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns the runners of the daemon's subset of each service, with their distances.
+fn wanted<'a>(
+    daemon: &Daemon,
+    register: &'a Register,
+) -> HashMap<&'a runner::Id, (&'a register::Runner, Distance)> {
+    let settings = daemon.settings();
+    let here = Place { region: settings.region.clone(), zone: settings.zone.clone() };
+    let regions = regions(register);
+    let mut services: HashMap<&service::Name, Vec<(&register::Runner, Place)>> = HashMap::new();
+    for runner in &register.runners {
+        let region = regions.get(&runner.zone).copied().unwrap_or(&here.region).clone();
+        let place = Place { region, zone: runner.zone.clone() };
+        services.entry(&runner.service).or_default().push((runner, place));
+    }
+    let mut wanted = HashMap::new();
+    for runners in services.values() {
+        let by_id: HashMap<&runner::Id, &register::Runner> =
+            runners.iter().map(|(runner, _)| (&runner.id, *runner)).collect();
+        let places = runners.iter().map(|(runner, place)| (&runner.id, place));
+        for (id, distance) in subset::pick(&settings.id, &here, places, &Sizes::default()) {
+            if let Some((id, runner)) = by_id.get_key_value(id) {
+                wanted.insert(*id, (*runner, distance));
+            }
+        }
+    }
+    wanted
+}
+
+/// Returns the region of each availability zone.
+fn regions(register: &Register) -> HashMap<&place::Zone, &place::Region> {
+    let places = register.places.iter();
+    places.flat_map(|place| place.zones.iter().map(move |zone| (zone, &place.region))).collect()
+}
--- /dev/null
+++ b/crates/entry/src/runners/routes.rs
@@ -0,0 +1,128 @@
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use kumquattiller_base::runner;
+use kumquattiller_base::service;
+use kumquattiller_base::time::Moment;
+use kumquattiller_inventory::register;
+use kumquattiller_routing::choice::Choice;
+use kumquattiller_routing::load::Load;
+use kumquattiller_routing::pace::Pace;
+use kumquattiller_routing::policy::Policy;
+use kumquattiller_routing::prefix;
+use kumquattiller_routing::request::Request;
+use kumquattiller_routing::router::Refusal;
+use kumquattiller_routing::router::Router;
+use kumquattiller_routing::table::Distance;
+use kumquattiller_routing::table::Table;
+
+use crate::request::Admitted;
+use crate::runners::Remote;
+
+/// The routing tables of the services, fed by links and asked by requests.
+#[derive(Debug, Default)]
+pub struct Routes {
+    services: Mutex<HashMap<service::Name, Route>>,
+}
+
+/// The table of one service and its router.
+#[derive(Debug)]
+struct Route {
+    table: Table,
+    router: Router,
+}
+
+impl Default for Route {
+    fn default() -> Self {
+        let router = Router::new(Policy::default(), Pace::default());
+        Self { table: Table::default(), router }
+    }
+}
+
+impl Routes {
+    /// Adds a runner, which is closed until its link is open.
+    pub fn insert(&self, runner: &register::Runner, distance: Distance) {
+        let mut services = self.lock();
+        let table = &mut services.entry(runner.service.clone()).or_default().table;
+        table.insert(runner.id.clone(), runner.zone.clone(), distance);
+        table.set_reachable(&runner.id, false);
+    }
+
+    /// Removes a runner.
+    pub fn remove(&self, runner: &register::Runner) {
+        if let Some(route) = self.lock().get_mut(&runner.service) {
+            route.table.remove(&runner.id);
+        }
+    }
+
+    /// Takes over what a link shows of its runner.
+    pub fn refresh(&self, remote: &Remote) {
+        let runner = remote.runner();
+        let (load, at) = remote.load();
+        let is_open = remote.sender().is_some();
+        if let Some(Route { table, router }) = self.lock().get_mut(&runner.service) {
+            let was_open = table.get(&runner.id).is_some_and(|known| known.reachable);
+            if (was_open && !is_open) || load.gap {
+                router.prefixes_mut().gap(&runner.id);
+            }
+            table.set_reachable(&runner.id, is_open);
+            if table.get(&runner.id).is_some_and(|known| known.reported != Some(at)) {
+                router.prefixes_mut().evicted(&runner.id, &load.evicted);
+                table.report(&runner.id, routing_load(&load), at);
+            }
+        }
+    }
+
+    /// Picks a runner for the next attempt of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no runner of the service is open that was not tried before.
+    pub fn choose(
+        &self,
+        request: &Admitted,
+        tried: &[runner::Id],
+        now: Moment,
+    ) -> Result<Choice, Refusal> {
+        let blocks = prefix::sample(&request.blocks);
+        let asked = Request {
+            prompt: request.prompt,
+            answer: request.max_tokens,
+            blocks: &blocks,
+            rank: request.rank,
+            left: request.deadline.left(now),
+            tried,
+        };
+        let mut services = self.lock();
+        let Route { table, router } = services.entry(request.service.clone()).or_default();
+        let choice = router.choose(table, &asked, now, &mut rand::rng())?;
+        table.sent(&choice.runner, &asked);
+        Ok(choice)
+    }
+
+    /// Records that an attempt ended.
+    pub fn finished(&self, service: &service::Name, runner: &runner::Id) {
+        if let Some(route) = self.lock().get_mut(service) {
+            route.table.finished(runner);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<service::Name, Route>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns a report as the routing tables keep it.
+fn routing_load(load: &kumquattiller_wire::Load) -> Load {
+    Load {
+        running: load.running,
+        waiting: load.waiting,
+        held: load.held,
+        capacity: load.capacity,
+        backlog: load.backlog,
+        long_backlog: load.long_backlog,
+        leaving: load.leaving,
+    }
+}
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -69,6 +69,12 @@
         rule.map_or(DEFAULT_DEADLINE, |rule| Duration::from_millis(rule.deadline_ms))
     }
 
+    /// Returns the rank of a client account; accounts without a rule come last.
+    pub fn rank_of(&self, account: &account::Id) -> account::Rank {
+        let rules = &self.configuration.rules.accounts;
+        rules.iter().find(|rule| &rule.account == account).map_or(account::Rank::MAX, |r| r.rank)
+    }
+
     /// Tells whether a call may be repeated, by the first rule that fits or else by its kind.
     pub fn is_idempotent(&self, name: &service::Name, method: &str, path: &str) -> bool {
         let fits = |rule: &&kumquattiller_inventory::rules::Request| {
--- a/crates/experiment/src/world/site.rs
+++ b/crates/experiment/src/world/site.rs
@@ -40,7 +40,7 @@
     /// Empties the backend server, as its death does.
     pub(super) fn clear(&mut self, model: &Model) {
         self.engine = Engine::new(*model);
-        self.gate = Gate::new(*self.gate.limits());
+        self.gate.clear();
         self.is_stepping = false;
         self.life += 1;
     }
--- a/crates/routing/src/admission/gate.rs
+++ b/crates/routing/src/admission/gate.rs
@@ -12,7 +12,6 @@
 use crate::admission::Refusal;
 use crate::admission::Verdict;
 use crate::admission::estimate;
-use crate::admission::order;
 use crate::admission::order::Waiting;
 use crate::band::Band;
 use crate::load::Load;
@@ -26,6 +25,15 @@
 /// When to try another runner while this one leaves.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Multiple of the learnt time that admission counts with.
+const CAUTION: f64 = 5.0;
+
+/// Largest learnt multiple of the busy time.
+const MAX_STRETCH: f64 = 20.0;
+
+/// Requests that must have ended before their times are relied on.
+const MIN_LEARNT: u32 = 8;
+
 /// Weight of one request in the learnt share of the busy time.
 const STRETCH_WEIGHT: f64 = 0.02;
 
@@ -49,6 +57,7 @@
     long_backlog: Tokens,
     leaving: bool,
     stretch: f64,
+    learnt: u32,
 }
 
 impl Gate {
@@ -63,6 +72,7 @@
             long_backlog: Tokens::ZERO,
             leaving: false,
             stretch: 1.0,
+            learnt: 0,
         }
     }
 
@@ -76,7 +86,7 @@
         }
         if self.admits(&item) && !self.is_reserved_for_others(&item, now) {
             return match self.slack(&item, now) {
-                Duration::ZERO => refuse(Kind::Overloaded, MIN_RETRY_AFTER),
+                Duration::ZERO if !self.is_cold() => refuse(Kind::Overloaded, MIN_RETRY_AFTER),
                 _ => Verdict::Admit { priority: self.start(item, now) },
             };
         }
@@ -130,6 +140,12 @@
         actions
     }
 
+    /// Forgets all requests, as after the death of the engine, but not how long they took.
+    pub fn clear(&mut self) {
+        let (stretch, learnt) = (self.stretch, self.learnt);
+        *self = Self { stretch, learnt, leaving: self.leaving, ..Self::new(self.limits) };
+    }
+
     /// Refuses new work from now on; what waits or runs goes on.
     pub const fn leave(&mut self) {
         self.leaving = true;
@@ -178,7 +194,7 @@
             let over = wait.map_or(MAX_RETRY_AFTER, |wait| wait.saturating_sub(slack));
             return refuse(Kind::Overloaded, over.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
         }
-        self.waiting.push(Waiting::new(item, &self.limits, now));
+        self.waiting.push(Waiting::new(item, slack, now));
         Verdict::Hold
     }
 
@@ -191,7 +207,8 @@
         };
         let ahead = if item.is_reservation { Tokens::ZERO } else { ahead };
         let prefill = self.limits.pace.prefill_time(ahead) * 2;
-        order::slack(item, &self.limits, now).saturating_sub(prefill)
+        let busy = estimate::busy_time(item, &self.limits) + prefill;
+        item.deadline.since(now).saturating_sub(busy.mul_f64(self.caution()))
     }
 
     /// Returns the expected wait for memory and for the prompts ahead.
@@ -247,16 +264,13 @@
     }
 
     fn expire(&mut self, now: Moment, actions: &mut Vec<Action>) {
-        let limits = self.limits;
         self.expire_reservations(now, actions);
-        self.waiting.retain(|w| {
-            let in_time = !order::slack(&w.item, &limits, now).is_zero();
-            if !in_time {
-                let refusal = Refusal { kind: Kind::Overloaded, retry_after: MIN_RETRY_AFTER };
-                actions.push(Action::Refuse { request: w.item.request, refusal });
-            }
-            in_time
-        });
+        let is_late = |w: &&Waiting| self.slack(&w.item, now).is_zero();
+        let late = self.waiting.iter().filter(is_late).map(|w| w.item.request);
+        let late: Vec<Id> = late.collect();
+        self.waiting.retain(|w| !late.contains(&w.item.request));
+        let refusal = Refusal { kind: Kind::Overloaded, retry_after: MIN_RETRY_AFTER };
+        actions.extend(late.into_iter().map(|request| Action::Refuse { request, refusal }));
     }
 
     /// Frees the memory of reservations whose owner did not release them in time.
@@ -275,8 +289,24 @@
     fn learn(&mut self, running: &Running, now: Moment) {
         let assumed = estimate::busy_time(&running.item, &self.limits).as_secs_f64();
         let taken = now.since(running.started).as_secs_f64();
-        let ratio = (taken / assumed.max(f64::MIN_POSITIVE)).min(1.0);
-        self.stretch += (ratio - self.stretch) * STRETCH_WEIGHT;
+        let ratio = (taken / assumed.max(f64::MIN_POSITIVE)).min(MAX_STRETCH);
+        self.learnt = self.learnt.saturating_add(1);
+        let weight = STRETCH_WEIGHT.max(1.0 / f64::from(self.learnt));
+        self.stretch += (ratio - self.stretch) * weight;
+    }
+
+    /// Returns the factor on the busy time that admission counts with: a multiple of what requests
+    /// took, but no more than a busy engine needs unless the engine is slower than assumed.
+    fn caution(&self) -> f64 {
+        if self.is_cold() {
+            return 1.0;
+        }
+        (self.stretch * CAUTION).min(self.stretch.max(1.0))
+    }
+
+    /// Tells whether too little was learnt to refuse a request that could start now.
+    const fn is_cold(&self) -> bool {
+        self.learnt < MIN_LEARNT
     }
 
     /// Returns the memory that a band may fill.
--- a/crates/routing/src/admission/order.rs
+++ b/crates/routing/src/admission/order.rs
@@ -5,8 +5,6 @@
 use kumquattiller_base::time::Moment;
 
 use crate::admission::Item;
-use crate::admission::Limits;
-use crate::admission::estimate;
 
 /// Share of the slack that a request waits before it is aged, as a divisor.
 const AGED_SLACK_SHARE: u32 = 4;
@@ -23,9 +21,8 @@
 }
 
 impl Waiting {
-    /// Makes the entry of a request that came now.
-    pub(super) fn new(item: Item, limits: &Limits, now: Moment) -> Self {
-        let slack = slack(&item, limits, now);
+    /// Makes the entry of a request that came now and may wait for `slack`.
+    pub(super) fn new(item: Item, slack: Duration, now: Moment) -> Self {
         Self { item, since: now, aged_at: now + slack / AGED_SLACK_SHARE }
     }
 
@@ -42,8 +39,3 @@
         (!aged, urgency, band, self.item.rank.get(), self.since)
     }
 }
-
-/// Returns how long a request may wait and still end in time on a busy engine.
-pub(super) fn slack(item: &Item, limits: &Limits, now: Moment) -> Duration {
-    item.deadline.since(now).saturating_sub(estimate::busy_time(item, limits))
-}
--- a/crates/routing/src/prefix.rs
+++ b/crates/routing/src/prefix.rs
@@ -8,16 +8,11 @@
 use std::collections::HashMap;
 
 use kumquattiller_base::runner::Id;
-use kumquattiller_base::size::Bytes;
 use kumquattiller_base::size::Tokens;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Tokens of the shortest hashed prefix; each further one is twice as long.
 pub const FIRST_TOKENS: Tokens = Tokens::new(512);
 
-/// Bytes of text that count as one token.
-const BYTES_PER_TOKEN: u64 = 4;
-
 /// Hashes kept in each of the two generations.
 const GENERATION_SIZE: usize = 32_768;
 
@@ -26,20 +21,12 @@
     Tokens::new(FIRST_TOKENS.get() << place)
 }
 
-/// Returns the hashes of a text's prefixes, shortest first.
-pub fn hashes(text: &[u8]) -> Vec<u64> {
-    let mut hashes = Vec::new();
-    let (mut from, mut last) = (0, 0);
-    for place in 0.. {
-        let end = Bytes::new(tokens(place).get() * BYTES_PER_TOKEN).get() as usize;
-        if end > text.len() {
-            break;
-        }
-        last = xxh3_64_with_seed(&text[from..end], last);
-        hashes.push(last);
-        from = end;
-    }
-    hashes
+/// Picks from the hashes of each 512 tokens of a prompt those of its prefixes that count here.
+///
+/// Each of the hashes covers all tokens before it too.
+pub fn sample(blocks: &[u64]) -> Vec<u64> {
+    let places = std::iter::successors(Some(1_usize), |place| place.checked_mul(2));
+    places.map_while(|place| blocks.get(place - 1)).copied().collect()
 }
 
 /// A runner that computed a prefix.
--- a/crates/routing/src/subset.rs
+++ b/crates/routing/src/subset.rs
@@ -35,7 +35,7 @@
 
 impl Default for Sizes {
     fn default() -> Self {
-        Self { own_zone: 48, own_region: 16, other_region: 8 }
+        Self { own_zone: 48, own_region: 32, other_region: 8 }
     }
 }
 
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -41,6 +41,18 @@
     }
 }
 
+/// Returns a gate that has learnt that requests take the time of a busy engine.
+fn warm_gate() -> Gate {
+    let mut gate = gate();
+    for request in 100..120 {
+        gate.arrive(item(request, 2_000, 100, seconds(60)), Moment::ZERO);
+        let end = Moment::from_millis(4_040);
+        gate.prefilled(Id::from_u128(request), end);
+        gate.finished(Id::from_u128(request), end);
+    }
+    gate
+}
+
 fn seconds(seconds: u64) -> Moment {
     Moment::from_millis(seconds * 1_000)
 }
@@ -80,12 +92,24 @@
 #[test_case(500_000, 100, 60, Kind::MemoryFull; "larger than the engine")]
 #[test_case(2_000, 1_000, 10, Kind::Overloaded; "cannot end before its deadline")]
 fn refuses_what_cannot_end_in_time(prompt: u64, answer: u64, deadline: u64, kind: Kind) {
-    let verdict = gate().arrive(item(1, prompt, answer, seconds(deadline)), Moment::ZERO);
+    let verdict = warm_gate().arrive(item(1, prompt, answer, seconds(deadline)), Moment::ZERO);
     let Verdict::Refuse(refusal) = verdict else { panic!("{verdict:?}") };
     assert_eq!(refusal.kind, kind);
     assert!(!refusal.retry_after.is_zero());
 }
 
+#[test]
+fn a_fast_engine_is_not_refused_for_the_time_of_a_slow_one() {
+    let mut gate = gate();
+    for request in 100..200 {
+        gate.arrive(item(request, 2_000, 100, seconds(60)), Moment::ZERO);
+        gate.prefilled(Id::from_u128(request), Moment::from_millis(50));
+        gate.finished(Id::from_u128(request), Moment::from_millis(50));
+    }
+    let request = item(1, 2_000, 1_000, seconds(10));
+    assert!(matches!(gate.arrive(request, Moment::ZERO), Verdict::Admit { .. }));
+}
+
 #[test]
 fn refuses_everything_while_leaving() {
     let mut gate = gate();
--- a/crates/routing/tests/views.rs
+++ b/crates/routing/tests/views.rs
@@ -33,12 +33,12 @@
         let all = runners.iter().map(|(id, place)| (id, place));
         let picked = subset::pick(&daemon, &place(number), all, &Sizes::default());
         assert_eq!(picked.iter().filter(|(_, d)| *d == Distance::OwnZone).count(), 48);
-        assert_eq!(picked.len(), 72);
+        assert_eq!(picked.len(), 88);
         for (id, _) in picked {
             *links.entry(id).or_default() += 1;
         }
     }
-    let mean = 1_600.0 * 72.0 / 10_000.0;
+    let mean = 1_600.0 * 88.0 / 10_000.0;
     assert_eq!(links.len(), runners.len(), "a runner without links");
     let most = links.values().copied().max().unwrap_or_default();
     assert!((most as f64) < mean * 2.5, "{most} links, {mean} in the mean");
@@ -99,16 +99,13 @@
     assert_eq!(meter.division(10).long_engines, 0);
 }
 
-#[test]
-fn texts_share_hashes_as_far_as_their_prefixes_agree() {
-    let first: Vec<u8> = (0..40_000_u32).map(|n| (n % 251) as u8).collect();
-    let mut second = first.clone();
-    second[5_000] ^= 1;
-    let (first, second) = (prefix::hashes(&first), prefix::hashes(&second));
-    assert_eq!(first.len(), 5);
-    assert_eq!(first[..2], second[..2]);
-    assert_ne!(first[2], second[2]);
-    assert_ne!(first[4], second[4]);
+#[test_case(0, &[]; "no whole block")]
+#[test_case(1, &[0]; "one block")]
+#[test_case(5, &[0, 1, 3]; "five blocks")]
+#[test_case(8, &[0, 1, 3, 7]; "eight blocks")]
+fn prefixes_double_in_length(count: u64, expected: &[u64]) {
+    let blocks: Vec<u64> = (0..count).collect();
+    assert_eq!(prefix::sample(&blocks), expected);
 }
 
 #[test]
--- a/crates/runner/src/link/mod.rs
+++ b/crates/runner/src/link/mod.rs
@@ -1,5 +1,6 @@
 //! Links from entry daemons.
 
+mod accept;
 mod frames;
 mod incoming;
 mod listener;
--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -1,25 +1,32 @@
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use kumquattiller_base::account;
 use kumquattiller_base::error;
 use kumquattiller_base::request;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_link::Identity;
 use kumquattiller_link::Receiver;
 use kumquattiller_link::Sender;
+use kumquattiller_routing::admission::Item;
+use kumquattiller_routing::admission::Refusal;
 use kumquattiller_wire::Attempt;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::Error;
 use kumquattiller_wire::link;
+use tokio_util::sync::CancellationToken;
 
 use crate::Process;
 use crate::admission::Promise;
 use crate::job::Job;
+use crate::link::accept;
+use crate::link::accept::Held;
+use crate::link::accept::Later;
 use crate::link::frames;
 use crate::link::incoming::Incoming;
 use crate::link::subscription;
-use crate::work;
 
 /// One link from an entry daemon.
 #[derive(Debug)]
@@ -28,12 +35,13 @@
     sender: Sender,
     peer: Identity,
     incoming: HashMap<Attempt, Incoming>,
+    held: HashMap<Attempt, Held>,
 }
 
 impl Session {
     /// Begins a session on an open link.
     pub fn new(process: Process, sender: Sender, peer: Identity) -> Self {
-        Self { process, sender, peer, incoming: HashMap::new() }
+        Self { process, sender, peer, incoming: HashMap::new(), held: HashMap::new() }
     }
 
     /// Serves frames until the link closes.
@@ -78,30 +86,42 @@
                 self.incoming.insert(attempt, Incoming::new(start, promise));
                 self.run_if_complete(attempt).await
             }
-            Err(kind) => {
+            Err(refusal) => {
+                let kind = refusal.kind;
                 let decision = format!("the runner refused attempt {}: {kind}", attempt.number);
                 let recorder = self.process.recorder();
                 recorder.metrics().refusal(kind);
                 recorder.note(self.process.now(), attempt.request, &decision);
                 let load = self.process.load();
-                self.send(frames::refused(attempt, kind, None, load)).await
+                let retry_after = Some(refusal.retry_after);
+                self.send(frames::refused(attempt, kind, retry_after, load)).await
             }
         }
     }
 
-    /// Promises memory for a start, or tells why it is refused.
-    fn admit(&self, start: &link::Start) -> Result<Promise, error::Kind> {
+    /// Promises memory for a start, now or later, or tells why it is refused.
+    fn admit(&self, start: &link::Start) -> Result<Promise, Refusal> {
+        let refuse = |kind: error::Kind| {
+            let retry_after = kind.answer().retry_after.unwrap_or_default();
+            Err(Refusal { kind, retry_after })
+        };
         if self.process.is_leaving() {
-            return Err(error::Kind::Leaving);
+            return refuse(error::Kind::Leaving);
         }
         if start.left_ms == 0 {
-            return Err(error::Kind::DeadlineExpired);
+            return refuse(error::Kind::DeadlineExpired);
         }
         if start.incarnation != 0 && start.incarnation != self.process.identity().incarnation {
-            return Err(error::Kind::NoRunner);
+            return refuse(error::Kind::NoRunner);
         }
-        let tokens = Tokens::new(start.prompt_tokens.saturating_add(start.max_tokens));
-        self.process.memory().promise(tokens).ok_or(error::Kind::MemoryFull)
+        self.process.memory().promise(Item {
+            request: request::Id::from_u128(0),
+            prompt: Tokens::new(start.prompt_tokens),
+            answer: Tokens::new(start.max_tokens),
+            rank: account::Rank::new(start.rank.min(u32::from(u8::MAX)) as u8),
+            deadline: self.process.now() + Duration::from_millis(start.left_ms),
+            is_reservation: false,
+        })
     }
 
     /// Appends a part of a body.
@@ -128,7 +148,22 @@
             return Ok(());
         };
         let (start, body, promise) = incoming.into_parts();
-        self.accept(attempt, start, body, promise).await
+        if promise.is_ready() {
+            return self.accept(attempt, start, body, promise).await;
+        }
+        self.hold(attempt, start, body, promise);
+        Ok(())
+    }
+
+    /// Waits for room beside the session; the attempt is accepted or refused later.
+    fn hold(&mut self, attempt: Attempt, start: link::Start, body: Bytes, promise: Promise) {
+        let cancelled = CancellationToken::new();
+        self.held.retain(|_, guard| !guard.is_over());
+        self.held.insert(attempt, Held::new(cancelled.clone()));
+        let note = "the runner holds the attempt until memory is free";
+        self.process.recorder().note(self.process.now(), attempt.request, note);
+        let later = Later::new(self.process.clone(), self.sender.clone(), cancelled);
+        self.process.spawn(later.run(attempt, start, body, promise));
     }
 
     /// Creates the job, tells the entry daemon and starts the work.
@@ -139,24 +174,14 @@
         body: Bytes,
         promise: Promise,
     ) -> Result<(), Error> {
-        let (job, added) = self.process.jobs().add(Job::new(attempt, start));
-        let accepted = link::Accepted {
-            attempt: Some(attempt.into()),
-            incarnation: self.process.identity().incarnation,
-            load: Some(self.process.load().into()),
-        };
-        self.send(Body::Accepted(accepted)).await?;
-        self.subscribe(Arc::clone(&job), 0);
-        if added {
-            self.process.spawn(work::run(self.process.clone(), job, body, promise));
-        }
-        Ok(())
+        accept::run(&self.process, &self.sender, attempt, start, body, promise).await
     }
 
     /// Cancels an attempt.
     fn cancel(&mut self, cancel: link::Cancel) -> Result<(), Error> {
         let attempt = Attempt::from_field(cancel.attempt)?;
         self.incoming.remove(&attempt);
+        self.held.remove(&attempt);
         if let Some(job) = self.process.jobs().get(attempt) {
             job.cancel().cancel();
         }
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
 use kumquattiller_clients::Transport;
 use kumquattiller_clients::engine;
@@ -63,13 +62,14 @@
             zone: settings.zone.to_string(),
             role: "runner".to_owned(),
         };
+        let clock = Clock::start();
         let inner = Inner {
             engine: engine::Client::new(transport.clone(), &settings.backend.url),
             service: service::Client::new(transport, &settings.backend.url),
-            memory: Account::new(settings.backend.memory),
+            memory: Account::new(settings.backend.memory, clock),
             settings,
             identity,
-            clock: Clock::start(),
+            clock,
             jobs: job::Table::default(),
             recorder: Recorder::default(),
             work: TaskTracker::new(),
@@ -123,6 +123,7 @@
         while !self.inner.stopped.is_cancelled() {
             ticks.tick().await;
             self.inner.jobs.sweep(self.now());
+            self.inner.memory.advance();
         }
     }
 
@@ -188,12 +189,14 @@
 
     /// Reports the load of the backend server.
     pub fn load(&self) -> Load {
+        let load = self.inner.memory.load();
         Load {
             running: self.inner.jobs.running() as u32,
-            waiting: 0,
-            held: self.inner.memory.promised(),
-            capacity: self.inner.memory.capacity(),
-            backlog: Tokens::ZERO,
+            waiting: load.waiting,
+            held: load.held,
+            capacity: load.capacity,
+            backlog: load.backlog,
+            long_backlog: load.long_backlog,
             leaving: self.is_leaving(),
             sequence: self.inner.load_sequence.fetch_add(1, Ordering::Relaxed),
             ..Load::default()
--- a/crates/runner/src/work/mod.rs
+++ b/crates/runner/src/work/mod.rs
@@ -22,9 +22,16 @@
     let context = traces::Context::of(Some(&job.start().trace_parent));
     let span = context.span("backend", id);
     process.recorder().metrics().admitted();
-    let end = match process.settings().backend.kind {
-        service::Kind::Model => model::run(&process, &job, &body).await,
-        service::Kind::Plain => plain::run(&process, &job, body).await,
+    let end = {
+        let work = call(&process, &job, body);
+        tokio::pin!(work);
+        tokio::select! {
+            end = &mut work => end,
+            () = first_token(&job) => {
+                promise.prefilled();
+                work.await
+            }
+        }
     };
     if let End::Failed { kind, detail, .. } = &end {
         log::warn!(request:% = job.attempt().request, kind:%; "job failed: {detail}");
@@ -35,6 +42,24 @@
     job.finish(end, process.now());
 }
 
+/// Calls the backend server.
+async fn call(process: &Process, job: &Job, body: Bytes) -> End {
+    match process.settings().backend.kind {
+        service::Kind::Model => model::run(process, job, &body).await,
+        service::Kind::Plain => plain::run(process, job, body).await,
+    }
+}
+
+/// Waits for the first piece of the answer.
+async fn first_token(job: &Job) {
+    let mut changes = job.changes();
+    while job.next() == 0 {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Counts the end of a job and notes it for `kumquattiller explain`.
 fn record(process: &Process, job: &Job, end: &End) {
     let recorder = process.recorder();
--- a/crates/wire/src/load.rs
+++ b/crates/wire/src/load.rs
@@ -15,6 +15,8 @@
     pub capacity: Tokens,
     /// Prompt tokens not yet computed.
     pub backlog: Tokens,
+    /// The part of `backlog` that belongs to prompts over 8,000 tokens.
+    pub long_backlog: Tokens,
     /// The runner takes no new work.
     pub leaving: bool,
     /// Rises with each report of one incarnation.
@@ -35,6 +37,7 @@
             held: Tokens::new(wire.tokens_held),
             capacity: Tokens::new(wire.tokens_capacity),
             backlog: Tokens::new(wire.prefill_backlog),
+            long_backlog: Tokens::new(wire.long_backlog),
             leaving: wire.leaving,
             sequence: wire.sequence,
             cached: wire.cached,
@@ -52,6 +55,7 @@
             tokens_held: load.held.get(),
             tokens_capacity: load.capacity.get(),
             prefill_backlog: load.backlog.get(),
+            long_backlog: load.long_backlog.get(),
             leaving: load.leaving,
             sequence: load.sequence,
             cached: load.cached,
