--- a/crates/routing/src/router/cost.rs
+++ b/crates/routing/src/router/cost.rs
@@ -26,6 +26,9 @@
 /// Cost added for a runner in another region.
 const OTHER_REGION_COST: Duration = Duration::from_millis(500);
 
+/// Open runners that a decision compares, from a random start, beside the holder of a prefix.
+const MAX_CANDIDATES: usize = 32;
+
 /// What a policy weighs.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Weights {
@@ -39,7 +42,7 @@
     pub long_toll: f64,
 }
 
-/// Picks the open runner with the lowest cost, ties from a random start.
+/// Picks the candidate with the lowest cost, ties from a random start.
 pub(super) fn lowest<R: Rng>(
     table: &Table,
     request: &Request<'_>,
@@ -53,10 +56,14 @@
         return None;
     }
     let cached = |slot| prefix.filter(|&(s, _)| s == slot).map_or(Tokens::ZERO, |(_, t)| t);
+    let holder = prefix.map(|(slot, _)| slot);
+    let holder = holder.filter(|&slot| is_candidate(&table.runners()[slot], request));
     let start = rng.random_range(0..count);
     let (cost, slot) = (0..count)
         .map(|step| (start + step) % count)
         .filter(|&slot| is_candidate(&table.runners()[slot], request))
+        .take(MAX_CANDIDATES)
+        .chain(holder)
         .map(|slot| (of(&table.runners()[slot], request, pace, weights, cached(slot)), slot))
         .min_by_key(|&(cost, _)| cost)?;
     let runner = &table.runners()[slot];
