--- a/crates/claims/src/writer/answer.rs
+++ b/crates/claims/src/writer/answer.rs
@@ -4,7 +4,8 @@
 use crate::Timestamp;
 
 /// The writer's answer to a call that wanted a claim.
-#[derive(Debug)]
+#[derive(Debug, strum::Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum Answer {
     /// The call may start its request once.
     Granted(Claim<Granted>),
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -10,12 +11,16 @@
 use kumquattiller_base::request;
 use kumquattiller_base::time::Moment;
 use kumquattiller_clients::Transport;
+use kumquattiller_clients::configuration::Spread;
 use kumquattiller_clients::platform;
 use kumquattiller_inventory::configuration;
 use kumquattiller_link::Clock;
 use kumquattiller_link::Identity;
 use kumquattiller_link::incarnation;
+use kumquattiller_recovery::retry::Budget;
 use kumquattiller_telemetry::Recorder;
+use kumquattiller_wire::Body;
+use kumquattiller_wire::link::Leave;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -26,9 +31,12 @@
 use crate::claims::Claims;
 use crate::http;
 use crate::link;
+use crate::peers;
 use crate::runners::Pool;
 use crate::snapshot::Snapshot;
 use crate::source;
+use crate::suspects;
+use crate::suspects::Suspects;
 
 /// Longest wait at a stop for outcomes to be recorded.
 const CLAIMS_FLUSH_LIMIT: Duration = Duration::from_secs(5);
@@ -47,8 +55,12 @@
     platform: platform::Client,
     snapshots: watch::Sender<Arc<Snapshot>>,
     runners: Pool,
+    spread: Spread,
+    peers: peers::Table,
     recorder: Recorder,
     claims: Claims,
+    suspects: Suspects,
+    retries: Mutex<Budget>,
     claims_inbox: Mutex<Option<claims::Inbox>>,
     work: TaskTracker,
     leaving: AtomicBool,
@@ -73,9 +85,13 @@
             identity,
             clock,
             claims,
+            suspects: Suspects::default(),
+            retries: Mutex::default(),
             claims_inbox: Mutex::new(Some(claims_inbox)),
             snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
             runners: Pool::default(),
+            spread: Spread::default(),
+            peers: peers::Table::default(),
             recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
@@ -99,16 +115,37 @@
         );
         tokio::spawn(link::run(self.clone(), links));
         tokio::spawn(source::run(self.clone()));
+        tokio::spawn(peers::run(self.clone()));
         self.serve_claims();
+        tokio::spawn(suspects::run(self.clone()));
         shutdown.await;
         self.stop(server).await;
         Ok(())
     }
 
+    /// Fails readiness from now on.
+    pub fn leave(&self) {
+        if !self.inner.leaving.swap(true, Ordering::SeqCst) {
+            log::info!(daemon:% = self.settings().id; "entry daemon is leaving");
+        }
+    }
+
+    /// Acts on the word that a VM is leaving: stops being ready when it is the own one, tells the
+    /// runner process when there is a link to it.
+    pub fn on_leaving(&self, leave: &Leave) {
+        if leave.runner == self.settings().id.as_str() {
+            self.leave();
+            return;
+        }
+        let remote = leave.runner.parse().ok().and_then(|id| self.runners().get(&id));
+        if let Some(sender) = remote.and_then(|remote| remote.sender()) {
+            sender.try_send(Body::Leave(leave.clone()));
+        }
+    }
+
     /// Fails readiness, then refuses requests, then waits for those under way.
     async fn stop(&self, server: http::Server) {
-        self.inner.leaving.store(true, Ordering::SeqCst);
-        log::info!(daemon:% = self.settings().id; "entry daemon is leaving");
+        self.leave();
         tokio::time::sleep(Duration::from_millis(self.settings().drain_grace_ms)).await;
         self.inner.refusing.store(true, Ordering::SeqCst);
         self.inner.work.close();
@@ -127,6 +164,16 @@
         }
     }
 
+    /// Returns the requests that ran when engines died.
+    pub fn suspects(&self) -> &Suspects {
+        &self.inner.suspects
+    }
+
+    /// Returns the retries that may still be made.
+    pub fn retries(&self) -> MutexGuard<'_, Budget> {
+        self.inner.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the claims of non-idempotent requests.
     pub fn claims(&self) -> &Claims {
         &self.inner.claims
@@ -197,10 +244,30 @@
         self.recorder().note(self.now(), request, decision);
     }
 
+    /// Returns the spread of configuration over the links.
+    pub fn spread(&self) -> &Spread {
+        &self.inner.spread
+    }
+
+    /// Returns the entry daemons that this daemon has links to.
+    pub fn peers(&self) -> &peers::Table {
+        &self.inner.peers
+    }
+
+    /// Tells whether a source confirmed the configuration in force lately.
+    ///
+    /// A version that was adopted and confirmed is put in force a moment later; until then the
+    /// one in force is old.
+    pub fn is_fresh(&self) -> bool {
+        let spread = self.spread();
+        spread.state(self.now()).is_ready() && spread.version() == self.config_version()
+    }
+
     /// Tells whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
         !self.inner.leaving.load(Ordering::SeqCst)
             && self.config_version() != configuration::Version::NONE
+            && self.is_fresh()
     }
 
     /// Tells whether new requests are refused.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,11 +12,13 @@
 pub mod drive;
 pub mod http;
 pub mod link;
+pub mod peers;
 pub mod request;
 pub mod runners;
 pub mod settings;
 pub mod snapshot;
 pub mod source;
+pub mod suspects;
 
 pub use daemon::Daemon;
 pub use settings::Settings;
--- a/crates/entry/src/runners/mod.rs
+++ b/crates/entry/src/runners/mod.rs
@@ -8,6 +8,7 @@
 mod routes;
 
 pub use call::Call;
+pub use call::REJOIN_LIMIT;
 pub use pool::Pool;
 pub use remote::Remote;
 pub use reply::Reply;
--- a/crates/runner/src/admission.rs
+++ b/crates/runner/src/admission.rs
@@ -1,30 +1,20 @@
-//! Admission of requests against the engine's memory, by the gate of the routing package.
+//! Admission of requests against the engine's memory.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Duration;
 
-use kumquattiller_base::request;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
 use kumquattiller_link::Clock;
-use kumquattiller_routing::admission::Action;
-use kumquattiller_routing::admission::Gate;
-use kumquattiller_routing::admission::Item;
-use kumquattiller_routing::admission::Limits;
-use kumquattiller_routing::admission::Refusal;
-use kumquattiller_routing::admission::Verdict;
-use kumquattiller_routing::load::Load;
-use kumquattiller_routing::pace::Pace;
-use tokio::sync::oneshot;
+use kumquattiller_memory::Item;
+use kumquattiller_memory::Limits;
+use kumquattiller_memory::Owner;
+use kumquattiller_memory::Refusal;
+use kumquattiller_memory::Table;
 
-/// Time between tokens while prompts are computed beside, until it is learnt.
-const BUSY_STEP: Duration = Duration::from_millis(40);
-
-/// The memory of an engine and what it is promised to; clones share one state.
+/// The owners of the engine's memory; clones share one table.
 #[derive(Debug, Clone)]
 pub struct Account {
     shared: Arc<Shared>,
@@ -33,127 +23,81 @@
 #[derive(Debug)]
 struct Shared {
     clock: Clock,
-    state: Mutex<State>,
-}
-
-#[derive(Debug)]
-struct State {
-    gate: Gate,
-    next: u128,
-    waiting: HashMap<request::Id, oneshot::Sender<Result<u32, Refusal>>>,
+    table: Mutex<Table>,
 }
 
-/// Tokens promised to one request, at once or later; they are free again when it is dropped.
+/// Memory promised to one request.
+///
+/// When it is dropped, the item is freed on the engine and counts until the engine confirms that.
 #[derive(Debug)]
 pub struct Promise {
-    shared: Arc<Shared>,
-    entry: request::Id,
-    priority: u32,
-    later: Option<oneshot::Receiver<Result<u32, Refusal>>>,
+    held: Option<(Arc<Shared>, Item)>,
 }
 
 impl Account {
     /// Opens the account of an engine.
     pub fn new(capacity: Tokens, clock: Clock) -> Self {
-        let limits = Limits::new(capacity, Pace::default(), BUSY_STEP);
-        let gate = Gate::new(limits);
-        let state = Mutex::new(State { gate, next: 0, waiting: HashMap::new() });
-        Self { shared: Arc::new(Shared { clock, state }) }
+        let table = Mutex::new(Table::new(Limits::new(capacity), clock.now()));
+        Self { shared: Arc::new(Shared { clock, table }) }
     }
 
-    /// Asks for the memory of a request.
-    ///
-    /// The item's id is replaced by one of the account's own, so that attempts of one request do
-    /// not meet.
+    /// Promises memory for an item.
     ///
     /// # Errors
     ///
-    /// Fails when the gate refuses the request at once.
-    pub fn promise(&self, item: Item) -> Result<Promise, Refusal> {
+    /// Fails when there is no room or the item exists.
+    pub fn promise(&self, item: Item, owner: Owner, tokens: Tokens) -> Result<Promise, Refusal> {
         let now = self.shared.clock.now();
-        let mut state = self.shared.lock();
-        state.next += 1;
-        let entry = request::Id::from_u128(state.next);
-        let (priority, later) = match state.gate.arrive(Item { request: entry, ..item }, now) {
-            Verdict::Admit { priority } => (priority, None),
-            Verdict::Refuse(refusal) => return Err(refusal),
-            Verdict::Hold => {
-                let (sender, receiver) = oneshot::channel();
-                state.waiting.insert(entry, sender);
-                (0, Some(receiver))
-            }
-        };
-        drop(state);
-        Ok(Promise { shared: Arc::clone(&self.shared), entry, priority, later })
+        self.table().open(item.clone(), owner, tokens, false, now)?;
+        Ok(Promise { held: Some((Arc::clone(&self.shared), item)) })
     }
 
-    /// Admits and refuses what waits, as time has passed.
-    pub fn advance(&self) {
-        let now = self.shared.clock.now();
-        self.shared.change(|gate| gate.advance(now));
+    /// Returns the tokens promised in all.
+    pub fn promised(&self) -> Tokens {
+        self.table().promised()
     }
 
-    /// Returns the load to report.
-    pub fn load(&self) -> Load {
-        self.shared.lock().gate.load()
+    /// Returns the engine's memory.
+    pub fn capacity(&self) -> Tokens {
+        self.table().capacity()
     }
-}
 
-impl Promise {
-    /// Waits until the request may start, and returns its engine priority.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the gate refuses the request after all; nothing was started.
-    pub async fn wait(&mut self) -> Result<u32, Refusal> {
-        if let Some(later) = &mut self.later {
-            let gone = Refusal {
-                kind: kumquattiller_base::error::Kind::Stopping,
-                retry_after: Duration::from_secs(1),
-            };
-            self.priority = later.await.unwrap_or(Err(gone))?;
-            self.later = None;
-        }
-        Ok(self.priority)
+    /// Returns the present moment of the account's clock.
+    pub fn now(&self) -> Moment {
+        self.shared.clock.now()
     }
 
-    /// Tells whether the request may start now.
-    pub const fn is_ready(&self) -> bool {
-        self.later.is_none()
+    /// Locks the table.
+    pub fn table(&self) -> MutexGuard<'_, Table> {
+        self.shared.lock()
     }
+}
 
-    /// Records that the prompt is computed.
-    pub fn prefilled(&self) {
-        let now = self.shared.clock.now();
-        self.shared.change(|gate| gate.prefilled(self.entry, now));
+impl Promise {
+    /// Makes the promise of a backend server without KV memory.
+    pub const fn empty() -> Self {
+        Self { held: None }
     }
-}
 
-impl Drop for Promise {
-    fn drop(&mut self) {
-        let now: Moment = self.shared.clock.now();
-        self.shared.lock().waiting.remove(&self.entry);
-        self.shared.change(|gate| gate.finished(self.entry, now));
+    /// Ends the promise of an item that the engine does not hold.
+    pub fn settle(mut self) {
+        if let Some((shared, item)) = self.held.take() {
+            shared.lock().forget(&item);
+        }
     }
 }
 
 impl Shared {
-    /// Changes the gate and tells those who wait what it decided.
-    fn change(&self, change: impl FnOnce(&mut Gate) -> Vec<Action>) {
-        let mut state = self.lock();
-        for action in change(&mut state.gate) {
-            let (request, answer) = match action {
-                Action::Admit { request, priority } => (request, Ok(priority)),
-                Action::Refuse { request, refusal } => (request, Err(refusal)),
-                Action::Expire { .. } => continue,
-            };
-            if let Some(sender) = state.waiting.remove(&request) {
-                let _ = sender.send(answer);
-            }
-        }
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
+}
 
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+impl Drop for Promise {
+    fn drop(&mut self) {
+        if let Some((shared, item)) = self.held.take() {
+            let now = shared.clock.now();
+            shared.lock().close(&item, now);
+        }
     }
 }
--- a/crates/runner/src/link/incoming.rs
+++ b/crates/runner/src/link/incoming.rs
@@ -2,20 +2,20 @@
 use bytes::BytesMut;
 use kumquattiller_wire::link;
 
-use crate::admission::Promise;
+use crate::gate::Place;
 
 /// A start whose body is not complete.
 #[derive(Debug)]
 pub struct Incoming {
     start: link::Start,
-    promise: Promise,
+    place: Place,
     body: BytesMut,
 }
 
 impl Incoming {
     /// Waits for the body of a start.
-    pub fn new(start: link::Start, promise: Promise) -> Self {
-        Self { start, promise, body: BytesMut::new() }
+    pub fn new(start: link::Start, place: Place) -> Self {
+        Self { start, place, body: BytesMut::new() }
     }
 
     /// Appends a part of the body; returns false when it does not fit.
@@ -33,8 +33,8 @@
         self.body.len() as u64 == self.start.body_bytes
     }
 
-    /// Returns the start, its body and its promise of memory.
-    pub fn into_parts(self) -> (link::Start, Bytes, Promise) {
-        (self.start, self.body.freeze(), self.promise)
+    /// Returns the start, its body and its place at the gate.
+    pub fn into_parts(self) -> (link::Start, Bytes, Place) {
+        (self.start, self.body.freeze(), self.place)
     }
 }
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -8,23 +8,30 @@
 
 use kumquattiller_base::time::Moment;
 use kumquattiller_clients::Transport;
+use kumquattiller_clients::configuration::Spread;
+use kumquattiller_clients::configuration::Task;
 use kumquattiller_clients::engine;
 use kumquattiller_clients::service;
+use kumquattiller_inventory::Configuration;
 use kumquattiller_link::Clock;
 use kumquattiller_link::Identity;
 use kumquattiller_link::incarnation;
 use kumquattiller_telemetry::Recorder;
 use kumquattiller_wire::Load;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::Settings;
 use crate::admission::Account;
+use crate::gate::Gate;
 use crate::http;
 use crate::job;
 use crate::link;
+use crate::reconcile;
+use crate::suspects::Suspects;
 
 /// Time between sweeps of the job table.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -43,12 +50,15 @@
     engine: engine::Client,
     service: service::Client,
     memory: Account,
+    gate: Gate,
     jobs: job::Table,
+    suspects: Suspects,
     recorder: Recorder,
     work: TaskTracker,
     leaving: AtomicBool,
     stopped: CancellationToken,
-    config_version: AtomicU64,
+    spread: Spread,
+    configuration: watch::Sender<Option<Arc<Configuration>>>,
     load_sequence: AtomicU64,
 }
 
@@ -56,26 +66,30 @@
     /// Sets up the state; nothing runs yet.
     pub fn new(settings: Settings) -> Self {
         let transport = Transport::new();
+        let clock = Clock::start();
         let identity = Identity {
             name: settings.id.to_string(),
             incarnation: incarnation::draw(),
             zone: settings.zone.to_string(),
             role: "runner".to_owned(),
         };
-        let clock = Clock::start();
+        let suspects = Suspects::new(&identity.name, identity.incarnation);
         let inner = Inner {
             engine: engine::Client::new(transport.clone(), &settings.backend.url),
             service: service::Client::new(transport, &settings.backend.url),
             memory: Account::new(settings.backend.memory, clock),
+            gate: Gate::new(settings.backend.memory, clock),
             settings,
             identity,
             clock,
             jobs: job::Table::default(),
+            suspects,
             recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
             stopped: CancellationToken::new(),
-            config_version: AtomicU64::new(0),
+            spread: Spread::default(),
+            configuration: watch::Sender::new(None),
             load_sequence: AtomicU64::new(0),
         };
         Self { inner: Arc::new(inner) }
@@ -95,6 +109,7 @@
         );
         tokio::spawn(link::run(self.clone(), listener));
         tokio::spawn(self.clone().sweep());
+        tokio::spawn(reconcile::run(self.clone()));
         shutdown.await;
         self.leave();
         self.finish().await;
@@ -117,13 +132,14 @@
         log::info!(runner:% = self.settings().id; "runner process ends");
     }
 
-    /// Drops old answers and cancels orphans until the process stops.
+    /// Drops old answers, cancels orphans and runs the spread of configuration until the process stops.
     async fn sweep(self) {
         let mut ticks = interval(SWEEP_INTERVAL);
         while !self.inner.stopped.is_cancelled() {
             ticks.tick().await;
             self.inner.jobs.sweep(self.now());
-            self.inner.memory.advance();
+            self.inner.gate.advance();
+            self.finish_task(self.inner.spread.tick(self.now()));
         }
     }
 
@@ -162,11 +178,21 @@
         &self.inner.memory
     }
 
+    /// Returns the gate before the engine.
+    pub fn gate(&self) -> &Gate {
+        &self.inner.gate
+    }
+
     /// Returns the jobs.
     pub fn jobs(&self) -> &job::Table {
         &self.inner.jobs
     }
 
+    /// Returns the requests that an engine's death makes suspects.
+    pub fn suspects(&self) -> &Suspects {
+        &self.inner.suspects
+    }
+
     /// Returns the metrics and the decisions.
     pub fn recorder(&self) -> &Recorder {
         &self.inner.recorder
@@ -184,17 +210,47 @@
 
     /// Returns the configuration version in force here.
     pub fn config_version(&self) -> u64 {
-        self.inner.config_version.load(Ordering::SeqCst)
+        self.inner.spread.version().get()
+    }
+
+    /// Returns the spread of configuration over the links.
+    pub fn spread(&self) -> &Spread {
+        &self.inner.spread
+    }
+
+    /// Returns the configuration in force, as it changes; `None` before the first.
+    pub fn configuration(&self) -> watch::Receiver<Option<Arc<Configuration>>> {
+        self.inner.configuration.subscribe()
+    }
+
+    /// Tells whether a source confirmed the configuration in force lately.
+    pub fn is_fresh(&self) -> bool {
+        self.inner.spread.state(self.now()).is_ready()
+    }
+
+    /// Does what the spread of configuration asks for.
+    pub fn finish_task(&self, task: Task) {
+        let Some(configuration) = task.adopt else {
+            return;
+        };
+        self.inner.configuration.send_if_modified(|present| {
+            let newer = present.as_ref().is_none_or(|held| held.version < configuration.version);
+            if newer {
+                log::info!(version:% = configuration.version; "configuration in force");
+                *present = Some(configuration);
+            }
+            newer
+        });
     }
 
     /// Reports the load of the backend server.
     pub fn load(&self) -> Load {
-        let load = self.inner.memory.load();
+        let load = self.inner.gate.load();
         Load {
             running: self.inner.jobs.running() as u32,
             waiting: load.waiting,
-            held: load.held,
-            capacity: load.capacity,
+            held: load.held.max(self.inner.memory.promised()),
+            capacity: self.inner.memory.capacity(),
             backlog: load.backlog,
             long_backlog: load.long_backlog,
             leaving: self.is_leaving(),
--- a/crates/runner/src/work/mod.rs
+++ b/crates/runner/src/work/mod.rs
@@ -7,28 +7,36 @@
 
 use bytes::Bytes;
 use kumquattiller_base::service;
+use kumquattiller_memory::Item;
 use kumquattiller_telemetry::traces;
+use kumquattiller_wire::Attempt;
 
 use crate::Process;
 use crate::admission::Promise;
+use crate::gate::Place;
 use crate::job::End;
 use crate::job::Job;
 
+/// Returns what an attempt holds on a model engine.
+pub fn item_of(attempt: Attempt) -> Item {
+    Item::Stream(model::stream_of(attempt).into())
+}
+
 /// Runs a job to its end and records the end.
 ///
 /// The promise of memory is given back only after the backend server has let go of the stream.
-pub async fn run(process: Process, job: Arc<Job>, body: Bytes, promise: Promise) {
+pub async fn run(process: Process, job: Arc<Job>, body: Bytes, promise: Promise, place: Place) {
     let id = job.attempt().request;
     let context = traces::Context::of(Some(&job.start().trace_parent));
     let span = context.span("backend", id);
     process.recorder().metrics().admitted();
-    let end = {
+    let (end, freed) = {
         let work = call(&process, &job, body);
         tokio::pin!(work);
         tokio::select! {
-            end = &mut work => end,
+            ended = &mut work => ended,
             () = first_token(&job) => {
-                promise.prefilled();
+                place.prefilled();
                 work.await
             }
         }
@@ -37,16 +45,23 @@
         log::warn!(request:% = job.attempt().request, kind:%; "job failed: {detail}");
     }
     drop(span);
-    drop(promise);
+    if freed {
+        promise.settle();
+    } else {
+        drop(promise);
+    }
+    drop(place);
+    let engine_died = matches!(end, End::Failed { backend_died: true, .. });
+    process.suspects().leave(job.attempt(), engine_died).await;
     record(&process, &job, &end);
     job.finish(end, process.now());
 }
 
-/// Calls the backend server.
-async fn call(process: &Process, job: &Job, body: Bytes) -> End {
+/// Calls the backend server; returns the end and whether it let go of what the job held.
+async fn call(process: &Process, job: &Job, body: Bytes) -> (End, bool) {
     match process.settings().backend.kind {
         service::Kind::Model => model::run(process, job, &body).await,
-        service::Kind::Plain => plain::run(process, job, body).await,
+        service::Kind::Plain => (plain::run(process, job, body).await, true),
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,13 @@
 //! Tests of the real programs against stand-ins, a module for each topic.
 
 mod api_page;
+mod claims;
+mod combined;
 mod command;
+mod configuration;
+mod drain;
+mod memory;
 mod path;
+mod sessions;
 mod settings;
 mod support;
--- a/xtask/src/demo/fleet.rs
+++ b/xtask/src/demo/fleet.rs
@@ -51,7 +51,7 @@
     /// Fails when a process does not start or does not become ready.
     pub async fn start(programs: Programs) -> Result<Self, Failure> {
         let starter = Starter::new(programs, root().join(FOLDER))?;
-        let platform = starter.standin("platform", "platform", &json!({}))?;
+        let platform = starter.standin("platform", "platform", &[])?;
         println!("platform   {}", platform.url);
         let mut fleet = Self {
             entries: Vec::new(),
@@ -73,8 +73,8 @@
         for (index, (id, zone, kind)) in self.inventory.runners().into_iter().enumerate() {
             let name = format!("backend-{id}");
             let standin = match kind {
-                "plain" => self.starter.standin(&name, "service", &json!({}))?,
-                _ => self.starter.standin(&name, "engine", &self.engine_settings())?,
+                "plain" => self.starter.standin(&name, "service", &[])?,
+                _ => self.starter.standin(&name, "engine", &self.engine_options())?,
             };
             let backend = json!({"kind": kind, "url": standin.url, "memory": ENGINE_MEMORY});
             let member = self.starter.runner(&id, &zone, &backend, platform).await?;
@@ -104,7 +104,7 @@
         let register = self.starter.write("register", self.inventory.register())?;
         let rules = self.starter.write("rules", self.inventory.rules())?;
         let program = self.starter.programs().path("kumquattiller");
-        println!("$ kumquattiller apply --register register.json --rules rules.json");
+        println!("\n$ kumquattiller apply --platform URL --register FILE --rules FILE");
         let status = Command::new(program)
             .args(["apply", "--register", &register, "--rules", &rules])
             .args(["--platform", platform])
@@ -128,7 +128,12 @@
         Ok(())
     }
 
-    fn engine_settings(&self) -> serde_json::Value {
-        json!({"memory": ENGINE_MEMORY, "models": self.inventory.models()})
+    /// Returns the options of the stand-in engines: memory and the loaded models.
+    fn engine_options(&self) -> Vec<String> {
+        let mut options = vec!["--memory".to_owned(), ENGINE_MEMORY.to_string()];
+        for model in self.inventory.desired_models() {
+            options.extend(["--model".to_owned(), model]);
+        }
+        options
     }
 }
--- a/xtask/src/slopes/rig.rs
+++ b/xtask/src/slopes/rig.rs
@@ -1,8 +1,8 @@
+use std::process::Command;
 use std::time::Duration;
 use std::time::Instant;
 
 use kumquattiller_inventory::Configuration;
-use serde_json::Value;
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -71,9 +71,13 @@
     /// # Errors
     ///
     /// Fails when a process does not start or not all links open.
-    pub async fn start(programs: &Programs, size: Size, engine: &Value) -> Result<Self, Failure> {
+    pub async fn start(
+        programs: &Programs,
+        size: Size,
+        engine: &[String],
+    ) -> Result<Self, Failure> {
         let starter = Starter::new(programs.clone(), root().join(FOLDER))?;
-        let platform = starter.standin("platform", "platform", &json!({}))?;
+        let platform = starter.standin("platform", "platform", &[])?;
         let mut engines = Vec::new();
         for index in 0..size.engines {
             engines.push(starter.standin(&format!("engine-{index}"), "engine", engine)?);
@@ -83,7 +87,7 @@
         for index in 0..size.runners {
             rig.add_runner(&starter, &mut configuration, index).await?;
         }
-        put(&rig.platform.url, &configuration).await?;
+        apply(&starter, &rig.platform.url, &configuration)?;
         for index in 0..size.entries {
             let zone = format!("zone-{}", index % 18);
             let id = format!("entry-{index}");
@@ -95,6 +99,17 @@
         Ok(rig)
     }
 
+    /// Returns the reads that the platform has counted.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn store_reads(&self) -> Result<f64, Failure> {
+        let calls: serde_json::Value =
+            reqwest::get(format!("{}/admin/calls", self.platform.url)).await?.json().await?;
+        calls["reads"].as_f64().ok_or_else(|| "calls without reads".into())
+    }
+
     /// Starts a runner process and puts it in the register, all for the first model.
     async fn add_runner(
         &mut self,
@@ -130,12 +145,17 @@
     }
 }
 
-/// Writes the configuration to the platform.
-async fn put(platform: &str, configuration: &Configuration) -> Outcome {
-    let url = format!("{platform}/objects/configuration/current");
-    let request = reqwest::Client::new().put(url).header("If-None-Match", "*");
-    request.json(configuration).send().await?.error_for_status()?;
-    Ok(())
+/// Makes a configuration the accepted one with the operators' command line.
+fn apply(starter: &Starter, platform: &str, configuration: &Configuration) -> Outcome {
+    let register = starter.write("register", &serde_json::to_value(&configuration.register)?)?;
+    let rules = starter.write("rules", &serde_json::to_value(&configuration.rules)?)?;
+    let output = Command::new(starter.programs().path("kumquattiller"))
+        .args(["apply", "--platform", platform, "--register", &register, "--rules", &rules])
+        .output()?;
+    if output.status.success() {
+        return Ok(());
+    }
+    Err(String::from_utf8(output.stderr)?.into())
 }
 
 /// Measures processes over a time, while `work` runs.
