--- a/crates/entry/src/http/models.rs
+++ b/crates/entry/src/http/models.rs
@@ -73,6 +73,7 @@
     let request = Admitted {
         id,
         fingerprint: Fingerprint::of(&account, ENGINE_PATH, &data),
+        rank: snapshot.rank_of(&account),
         account,
         service,
         model: Some(model),
@@ -80,6 +81,7 @@
         path: ENGINE_PATH.to_owned(),
         prompt: parts.tokens,
         max_tokens: parts.max_tokens,
+        streamed: parts.stream,
         idempotent,
         key,
         deadline: Deadline::after(arrived, span),
--- a/crates/entry/src/http/plain.rs
+++ b/crates/entry/src/http/plain.rs
@@ -70,6 +70,7 @@
     let request = Admitted {
         id,
         fingerprint: Fingerprint::of(&account, &format!("{method} {service}{path}"), &data),
+        rank: snapshot.rank_of(&account),
         account,
         service,
         model: None,
@@ -77,6 +78,7 @@
         path,
         prompt: Tokens::ZERO,
         max_tokens: Tokens::ZERO,
+        streamed: false,
         idempotent,
         key,
         deadline: Deadline::after(arrived, span),
--- a/crates/entry/src/request/admitted.rs
+++ b/crates/entry/src/request/admitted.rs
@@ -15,6 +15,8 @@
     pub id: request::Id,
     /// The client account.
     pub account: account::Id,
+    /// The account's rank under overload; 0 is served first.
+    pub rank: account::Rank,
     /// The service.
     pub service: service::Name,
     /// The model; absent for plain services.
@@ -27,6 +29,8 @@
     pub prompt: Tokens,
     /// Most tokens to generate.
     pub max_tokens: Tokens,
+    /// Whether the caller reads the answer as a stream, which it can resume.
+    pub streamed: bool,
     /// Whether a repeat does no harm.
     pub idempotent: bool,
     /// The caller's key.
--- a/crates/support/src/fleet/builder.rs
+++ b/crates/support/src/fleet/builder.rs
@@ -3,8 +3,14 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-use kumquattiller_entry::source;
+use kumquattiller_clients::Transport;
+use kumquattiller_clients::configuration::Store;
+use kumquattiller_clients::configuration::commit;
+use kumquattiller_clients::platform::Client;
 use kumquattiller_inventory::Configuration;
+use kumquattiller_inventory::Version;
+use kumquattiller_inventory::section::Items;
+use kumquattiller_rollout::commit::Outcome;
 use kumquattiller_standins::engine;
 use kumquattiller_standins::platform;
 use kumquattiller_standins::service;
@@ -41,6 +47,7 @@
     service: service::Settings,
     platform: platform::Settings,
     rules: Value,
+    trace_endpoint: Option<String>,
 }
 
 impl Builder {
@@ -55,6 +62,7 @@
             service: service::Settings::default(),
             platform: platform::Settings::default(),
             rules: json!({}),
+            trace_endpoint: None,
         }
     }
 
@@ -100,6 +108,12 @@
         self
     }
 
+    /// Sets where the programs export traces to.
+    pub fn trace_endpoint(mut self, url: String) -> Self {
+        self.trace_endpoint = Some(url);
+        self
+    }
+
     /// Starts the fleet and waits until it serves.
     ///
     /// # Panics
@@ -124,9 +138,13 @@
             runners.push(self.runner(&folder, ip, index, backend, &url, &platform).await);
         }
         let configuration = self.configuration(&runners);
-        let value = serde_json::to_value(&configuration).expect("configuration is JSON");
-        platform.put(source::KIND, source::NAME, value);
-        let entries = (0..self.entries).map(|i| self.entry(&folder, ip, i, &platform)).collect();
+        let client = Client::new(Transport::new(), &platform.url());
+        let items = Items::of(&configuration);
+        let outcome = commit(&Store::new(client), items).await;
+        assert_eq!(outcome, Outcome::Accepted(Version::new(1)));
+        let entries: Vec<Entry> =
+            (0..self.entries).map(|i| self.entry(&folder, ip, i, &platform)).collect();
+        entries.iter().for_each(|entry| platform.set_vm(entry.vm(ZONE)));
         let binaries = self.binaries;
         let fleet = Fleet { binaries, folder, ip, platform, entries, runners, configuration };
         fleet.ready().await;
@@ -147,6 +165,7 @@
         let settings = json!({
             "id": id, "region": REGION, "zone": ZONE, "http_address": http,
             "link_address": link, "platform_url": platform.url(), "drain_grace_ms": 300,
+            "trace_endpoint": self.trace_endpoint,
         });
         let file = write(folder, &id, &settings);
         let program = entry::start(&self.binaries, &file);
@@ -174,6 +193,7 @@
             "http_address": address::free_port(ip),
             "backend": {"kind": kind, "url": url, "memory": self.engine.memory.get()},
             "platform_url": platform.url(),
+            "trace_endpoint": self.trace_endpoint,
         });
         let file = write(folder, &id, &settings);
         let program = runner::start(&self.binaries, &file);
--- a/tests/testsuite/combined/mod.rs
+++ b/tests/testsuite/combined/mod.rs
@@ -17,9 +17,9 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 
+use crate::combined::fault::Fault;
+use crate::combined::load::Load;
 use crate::support::fleet;
-use fault::Fault;
-use load::Load;
 
 /// Seeds of a run without `KUMQUATTILLER_COMBINED`.
 const DEFAULT_SEEDS: u64 = 2;
@@ -52,7 +52,7 @@
     let load = Load::start(&fleet, seed);
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     for _ in 0..ROUNDS {
-        let pair = [Fault::draw(&mut rng), Fault::draw(&mut rng)];
+        let pair = Fault::draw_pair(&mut rng);
         println!("seed {seed}: {pair:?}");
         for fault in pair {
             fault.begin(&mut fleet).await;
--- a/xtask/src/slopes/rig.rs
+++ b/xtask/src/slopes/rig.rs
@@ -1,8 +1,8 @@
+use std::process::Command;
 use std::time::Duration;
 use std::time::Instant;
 
 use kumquattiller_inventory::Configuration;
-use serde_json::Value;
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -24,7 +24,7 @@
 /// Pause between looks at the links.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a fleet settles before it is measured.
-const SETTLE: Duration = Duration::from_secs(2);
+const SETTLE: Duration = Duration::from_secs(5);
 /// Model of the rig.
 pub const MODEL: &str = "name-0";
 /// Credential of the rig's first client account.
@@ -71,30 +71,48 @@
     /// # Errors
     ///
     /// Fails when a process does not start or not all links open.
-    pub async fn start(programs: &Programs, size: Size, engine: &Value) -> Result<Self, Failure> {
+    pub async fn start(
+        programs: &Programs,
+        size: Size,
+        engine: &[String],
+    ) -> Result<Self, Failure> {
         let starter = Starter::new(programs.clone(), root().join(FOLDER))?;
-        let platform = starter.standin("platform", "platform", &json!({}))?;
+        let platform = starter.standin("platform", "platform", &[])?;
         let mut engines = Vec::new();
         for index in 0..size.engines {
             engines.push(starter.standin(&format!("engine-{index}"), "engine", engine)?);
         }
         let mut configuration = sample::configuration(size.runners, size.accounts)?;
+        configuration.register.services.truncate(1);
         let mut rig = Self { entries: vec![], runners: vec![], engines, platform };
         for index in 0..size.runners {
             rig.add_runner(&starter, &mut configuration, index).await?;
         }
-        put(&rig.platform.url, &configuration).await?;
+        apply(&starter, &rig.platform.url, &configuration)?;
         for index in 0..size.entries {
-            let zone = format!("zone-{}", index % 18);
+            let zone = "zone-0".to_owned();
             let id = format!("entry-{index}");
             let platform = &rig.platform.url;
-            rig.entries.push(starter.entry(&id, ("region-0", &zone), platform).await?);
+            let member = starter.entry(&id, ("region-0", &zone), platform).await?;
+            announce(platform, &id, &zone, &member).await?;
+            rig.entries.push(member);
         }
         rig.wait_for_links().await?;
         sleep(SETTLE).await;
         Ok(rig)
     }
 
+    /// Returns the reads that the platform has counted.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn store_reads(&self) -> Result<f64, Failure> {
+        let calls: serde_json::Value =
+            reqwest::get(format!("{}/admin/calls", self.platform.url)).await?.json().await?;
+        calls["reads"].as_f64().ok_or_else(|| "calls without reads".into())
+    }
+
     /// Starts a runner process and puts it in the register, all for the first model.
     async fn add_runner(
         &mut self,
@@ -130,14 +148,29 @@
     }
 }
 
-/// Writes the configuration to the platform.
-async fn put(platform: &str, configuration: &Configuration) -> Outcome {
-    let url = format!("{platform}/objects/configuration/current");
-    let request = reqwest::Client::new().put(url).header("If-None-Match", "*");
-    request.json(configuration).send().await?.error_for_status()?;
+/// Puts an entry daemon in the platform's list of VMs.
+async fn announce(platform: &str, id: &str, zone: &str, member: &Member) -> Outcome {
+    let vm = json!({
+        "name": id, "address": member.link, "zone": zone, "role": "entry", "phase": "live"
+    });
+    let request = reqwest::Client::new().put(format!("{platform}/admin/vms/{id}"));
+    request.json(&vm).send().await?.error_for_status()?;
     Ok(())
 }
 
+/// Makes a configuration the accepted one with the operators' command line.
+fn apply(starter: &Starter, platform: &str, configuration: &Configuration) -> Outcome {
+    let register = starter.write("register", &serde_json::to_value(&configuration.register)?)?;
+    let rules = starter.write("rules", &serde_json::to_value(&configuration.rules)?)?;
+    let output = Command::new(starter.programs().path("kumquattiller"))
+        .args(["apply", "--platform", platform, "--register", &register, "--rules", &rules])
+        .output()?;
+    if output.status.success() {
+        return Ok(());
+    }
+    Err(String::from_utf8(output.stderr)?.into())
+}
+
 /// Measures processes over a time, while `work` runs.
 ///
 /// # Errors
