claims: at most one write of a shard in 250 ms

Cause: group commit batched only what arrived within 5 ms or during a write, so at 1,000 claims/s the writes were 968 for 1,000 claims, over the several hundred a second that the store takes. Ruled out: a longer linger, which would delay a lone claim as well; fewer shards, which hold fewer keys.

--- a/crates/claims/src/writer/lane.rs
+++ b/crates/claims/src/writer/lane.rs
@@ -68,11 +68,14 @@
     pub uncertain: bool,
     /// When the next write is due.
     pub due: Option<Moment>,
+    /// Before when no write of new calls and notes begins.
+    pub paced_until: Moment,
 }
 
 impl Lane {
-    /// Makes the next write due at `moment` at the latest.
+    /// Makes the next write due at `moment`, or later when the last one was just before.
     pub fn due_by(&mut self, moment: Moment) {
+        let moment = moment.max(self.paced_until);
         self.due = Some(self.due.map_or(moment, |due| due.min(moment)));
     }
 
--- a/crates/claims/src/writer/machine.rs
+++ b/crates/claims/src/writer/machine.rs
@@ -149,6 +149,7 @@
         if batch.changed {
             let shard = batch.shard.clone();
             lane.busy = Busy::Writing(batch);
+            lane.paced_until = now.moment + self.settings.write_interval;
             actions.push(Action::Write { number, version, shard });
         } else if batch.is_provisional() && !lane.fresh {
             lane.put_back(batch);
--- a/crates/claims/src/writer/settings.rs
+++ b/crates/claims/src/writer/settings.rs
@@ -7,6 +7,8 @@
     pub claim_linger: Duration,
     /// How long an outcome waits for a write that claims need anyway.
     pub outcome_linger: Duration,
+    /// Least time between two writes of one shard.
+    pub write_interval: Duration,
     /// How long calls are refused without asking, after the store was unavailable.
     pub outage_pause: Duration,
     /// How often a shard is read to release attempts whose call was refused.
@@ -18,6 +20,7 @@
         Self {
             claim_linger: Duration::from_millis(5),
             outcome_linger: Duration::from_secs(1),
+            write_interval: Duration::from_millis(250),
             outage_pause: Duration::from_millis(500),
             orphan_check: Duration::from_secs(5),
         }
