--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -16,6 +17,7 @@
 use kumquattiller_link::Clock;
 use kumquattiller_link::Identity;
 use kumquattiller_link::incarnation;
+use kumquattiller_recovery::retry::Budget;
 use kumquattiller_telemetry::Recorder;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::link::Leave;
@@ -33,6 +35,8 @@
 use crate::runners::Pool;
 use crate::snapshot::Snapshot;
 use crate::source;
+use crate::suspects;
+use crate::suspects::Suspects;
 
 /// Longest wait at a stop for outcomes to be recorded.
 const CLAIMS_FLUSH_LIMIT: Duration = Duration::from_secs(5);
@@ -53,8 +57,11 @@
     runners: Pool,
     spread: Spread,
     peers: peers::Table,
+    members: peers::Members,
     recorder: Recorder,
     claims: Claims,
+    suspects: Suspects,
+    retries: Mutex<Budget>,
     claims_inbox: Mutex<Option<claims::Inbox>>,
     work: TaskTracker,
     leaving: AtomicBool,
@@ -73,17 +80,21 @@
         };
         let clock = Clock::start();
         let (claims, claims_inbox) = Claims::new(clock);
+        let members = peers::Members::new(&settings, &identity);
         let inner = Inner {
             platform: platform::Client::new(Transport::new(), &settings.platform_url),
             settings,
             identity,
             clock,
             claims,
+            suspects: Suspects::default(),
+            retries: Mutex::default(),
             claims_inbox: Mutex::new(Some(claims_inbox)),
             snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
             runners: Pool::default(),
             spread: Spread::default(),
             peers: peers::Table::default(),
+            members,
             recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
@@ -109,6 +120,7 @@
         tokio::spawn(source::run(self.clone()));
         tokio::spawn(peers::run(self.clone()));
         self.serve_claims();
+        tokio::spawn(suspects::run(self.clone()));
         shutdown.await;
         self.stop(server).await;
         Ok(())
@@ -117,6 +129,7 @@
     /// Fails readiness from now on.
     pub fn leave(&self) {
         if !self.inner.leaving.swap(true, Ordering::SeqCst) {
+            self.members().leave();
             log::info!(daemon:% = self.settings().id; "entry daemon is leaving");
         }
     }
@@ -155,6 +168,16 @@
         }
     }
 
+    /// Returns the requests that ran when engines died.
+    pub fn suspects(&self) -> &Suspects {
+        &self.inner.suspects
+    }
+
+    /// Returns the retries that may still be made.
+    pub fn retries(&self) -> MutexGuard<'_, Budget> {
+        self.inner.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the claims of non-idempotent requests.
     pub fn claims(&self) -> &Claims {
         &self.inner.claims
@@ -235,6 +258,11 @@
         &self.inner.peers
     }
 
+    /// Returns the entry daemons of the availability zone, linked or not.
+    pub fn members(&self) -> &peers::Members {
+        &self.inner.members
+    }
+
     /// Tells whether a source confirmed the configuration in force lately.
     ///
     /// A version that was adopted and confirmed is put in force a moment later; until then the
--- a/crates/entry/src/link/session.rs
+++ b/crates/entry/src/link/session.rs
@@ -39,6 +39,12 @@
             let answer = match body {
                 Body::Explain(question) => self.explain(question),
                 Body::Heartbeat(heartbeat) => self.heartbeat(heartbeat),
+                Body::Gossip(gossip) if is_daemon => {
+                    match self.daemon.members().take(gossip, self.daemon.now()) {
+                        Some(answer) => Some(answer),
+                        None => continue,
+                    }
+                }
                 Body::Leave(leave) => {
                     self.daemon.on_leaving(&leave);
                     continue;
--- a/crates/entry/src/peers/list.rs
+++ b/crates/entry/src/peers/list.rs
@@ -29,11 +29,17 @@
         if watches || Instant::now() >= next_read {
             next_read = Instant::now() + OTHERS_INTERVAL;
             match daemon.platform().vms().await {
-                Ok(list) => vms = list.vms,
+                Ok(list) => {
+                    vms = list.vms;
+                    daemon.members().seed(&vms, daemon.now());
+                }
                 Err(error) => log::debug!("list of VMs was not read: {error}"),
             }
         }
-        follow(&daemon, &vms, &mut dialers);
+        for (to, body) in daemon.members().round(daemon.now()) {
+            daemon.peers().send(&to, body);
+        }
+        follow(&daemon, &known(&daemon, &vms), &mut dialers);
         tokio::select! {
             () = sleep(WATCHER_INTERVAL) => {}
             () = daemon.stopped().cancelled() => {}
@@ -42,6 +48,17 @@
     dialers.into_values().for_each(|dialer| dialer.abort());
 }
 
+/// Returns the VMs of the list and the live members that it does not show yet.
+fn known(daemon: &Daemon, listed: &[Vm]) -> Vec<Vm> {
+    let mut vms = listed.to_vec();
+    for member in daemon.members().live() {
+        if listed.iter().all(|vm| vm.name != member.name) {
+            vms.push(member);
+        }
+    }
+    vms
+}
+
 /// Opens links to new daemons, closes those to daemons no longer listed, and passes on which VMs
 /// are leaving.
 fn follow(daemon: &Daemon, vms: &[Vm], dialers: &mut HashMap<Chosen, AbortHandle>) {
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -6,6 +6,7 @@
 use kumquattiller_clients::configuration;
 use kumquattiller_link::Sender;
 use kumquattiller_rollout::spread::is_watcher;
+use kumquattiller_wire::Body;
 
 use crate::Daemon;
 
@@ -19,6 +20,7 @@
 struct Peer {
     name: String,
     zone: String,
+    sender: Sender,
 }
 
 /// An open link in the table; dropping it takes it out.
@@ -38,8 +40,8 @@
 impl Table {
     /// Adds an open link to another entry daemon.
     pub fn connected(&self, daemon: &Daemon, name: &str, zone: &str, sender: Sender) -> Guard {
-        let link = daemon.spread().connected(name, sender);
-        let peer = Peer { name: name.to_owned(), zone: zone.to_owned() };
+        let link = daemon.spread().connected(name, sender.clone());
+        let peer = Peer { name: name.to_owned(), zone: zone.to_owned(), sender };
         self.lock().insert(link, peer);
         Guard { daemon: daemon.clone(), link }
     }
@@ -57,6 +59,13 @@
         self.lock().values().any(|peer| peer.name == name)
     }
 
+    /// Sends a frame to a daemon when there is a link with room.
+    pub fn send(&self, name: &str, body: Body) {
+        if let Some(peer) = self.lock().values().rev().find(|peer| peer.name == name) {
+            peer.sender.try_send(body);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<configuration::Link, Peer>> {
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -14,7 +14,9 @@
 pub mod job;
 pub mod link;
 pub mod process;
+pub mod reconcile;
 pub mod settings;
+pub mod suspects;
 pub mod work;
 
 pub use process::Process;
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -30,6 +30,8 @@
 use crate::http;
 use crate::job;
 use crate::link;
+use crate::reconcile;
+use crate::suspects::Suspects;
 
 /// Time between sweeps of the job table.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -49,6 +51,7 @@
     service: service::Client,
     memory: Account,
     jobs: job::Table,
+    suspects: Suspects,
     recorder: Recorder,
     work: TaskTracker,
     leaving: AtomicBool,
@@ -62,20 +65,23 @@
     /// Sets up the state; nothing runs yet.
     pub fn new(settings: Settings) -> Self {
         let transport = Transport::new();
+        let clock = Clock::start();
         let identity = Identity {
             name: settings.id.to_string(),
             incarnation: incarnation::draw(),
             zone: settings.zone.to_string(),
             role: "runner".to_owned(),
         };
+        let suspects = Suspects::new(&identity.name, identity.incarnation);
         let inner = Inner {
             engine: engine::Client::new(transport.clone(), &settings.backend.url),
             service: service::Client::new(transport, &settings.backend.url),
-            memory: Account::new(settings.backend.memory),
+            memory: Account::new(settings.backend.memory, clock),
             settings,
             identity,
-            clock: Clock::start(),
+            clock,
             jobs: job::Table::default(),
+            suspects,
             recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
@@ -101,6 +107,7 @@
         );
         tokio::spawn(link::run(self.clone(), listener));
         tokio::spawn(self.clone().sweep());
+        tokio::spawn(reconcile::run(self.clone()));
         shutdown.await;
         self.leave();
         self.finish().await;
@@ -173,6 +180,11 @@
         &self.inner.jobs
     }
 
+    /// Returns the requests that an engine's death makes suspects.
+    pub fn suspects(&self) -> &Suspects {
+        &self.inner.suspects
+    }
+
     /// Returns the metrics and the decisions.
     pub fn recorder(&self) -> &Recorder {
         &self.inner.recorder
--- a/crates/support/src/fleet/entry.rs
+++ b/crates/support/src/fleet/entry.rs
@@ -25,6 +25,15 @@
 }
 
 impl Entry {
+    /// Waits for the end of a process that was asked to stop.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not end in time.
+    pub async fn stopped(&mut self) {
+        self.program.exit_code(STOP_LIMIT).await;
+    }
+
     /// Returns the daemon as the platform lists it.
     pub fn vm(&self, zone: &str) -> Vm {
         Vm {
@@ -36,15 +45,6 @@
         }
     }
 
-    /// Waits for the end of a process that was asked to stop.
-    ///
-    /// # Panics
-    ///
-    /// Panics when it does not end in time.
-    pub async fn stopped(&mut self) {
-        self.program.exit_code(STOP_LIMIT).await;
-    }
-
     /// Starts the process again with the same settings.
     pub fn restart(&mut self, binaries: &Binaries) {
         self.program = start(binaries, &self.settings);
--- a/xtask/src/demo/fleet.rs
+++ b/xtask/src/demo/fleet.rs
@@ -1,3 +1,4 @@
+use std::process::Command;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,7 +12,6 @@
 use crate::fleet::Programs;
 use crate::fleet::Standin;
 use crate::fleet::Starter;
-use crate::fleet::apply;
 use crate::fleet::wait_until_ready;
 use crate::root;
 
@@ -62,7 +62,7 @@
         };
         fleet.start_runners(&platform.url).await?;
         fleet.start_entries(&platform.url).await?;
-        fleet.apply(&platform.url).await?;
+        fleet.apply(&platform.url)?;
         fleet.standins.push(platform);
         fleet.wait_for_links().await?;
         Ok(fleet)
@@ -99,12 +99,17 @@
         Ok(())
     }
 
-    /// Writes register and rules to the platform as the first configuration.
-    async fn apply(&self, platform: &str) -> Outcome {
-        let configuration = json!({
-            "version": 0, "register": self.inventory.register(), "rules": self.inventory.rules()
-        });
-        apply(platform, &serde_json::from_value(configuration)?).await
+    /// Applies register and rules with the operators' command line.
+    fn apply(&self, platform: &str) -> Outcome {
+        let register = self.starter.write("register", self.inventory.register())?;
+        let rules = self.starter.write("rules", self.inventory.rules())?;
+        let program = self.starter.programs().path("kumquattiller");
+        println!("\n$ kumquattiller apply --platform URL --register FILE --rules FILE");
+        let status = Command::new(program)
+            .args(["apply", "--register", &register, "--rules", &rules])
+            .args(["--platform", platform])
+            .status()?;
+        if status.success() { Ok(()) } else { Err(format!("apply ended with {status}").into()) }
     }
 
     /// Waits until every entry daemon is ready and has a link to every runner.
--- a/xtask/src/slopes/rig.rs
+++ b/xtask/src/slopes/rig.rs
@@ -1,3 +1,4 @@
+use std::process::Command;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,7 +12,6 @@
 use crate::fleet::Programs;
 use crate::fleet::Standin;
 use crate::fleet::Starter;
-use crate::fleet::apply;
 use crate::fleet::wait_until_ready;
 use crate::root;
 use crate::slopes::sample;
@@ -87,7 +87,7 @@
         for index in 0..size.runners {
             rig.add_runner(&starter, &mut configuration, index).await?;
         }
-        apply(&rig.platform.url, &configuration).await?;
+        apply(&starter, &rig.platform.url, &configuration)?;
         for index in 0..size.entries {
             let zone = format!("zone-{}", index % 18);
             let id = format!("entry-{index}");
@@ -145,6 +145,19 @@
     }
 }
 
+/// Makes a configuration the accepted one with the operators' command line.
+fn apply(starter: &Starter, platform: &str, configuration: &Configuration) -> Outcome {
+    let register = starter.write("register", &serde_json::to_value(&configuration.register)?)?;
+    let rules = starter.write("rules", &serde_json::to_value(&configuration.rules)?)?;
+    let output = Command::new(starter.programs().path("kumquattiller"))
+        .args(["apply", "--platform", platform, "--register", &register, "--rules", &rules])
+        .output()?;
+    if output.status.success() {
+        return Ok(());
+    }
+    Err(String::from_utf8(output.stderr)?.into())
+}
+
 /// Measures processes over a time, while `work` runs.
 ///
 /// # Errors
