membership: process tests, links between daemons in the metrics

Cause: the gossip over links had no test with the real programs. The demo and the slopes counted all links as links to runner processes; they name the kind now. Conclusion: one listed daemon is enough for four to find each other.

--- a/crates/entry/src/http/metrics.rs
+++ b/crates/entry/src/http/metrics.rs
@@ -12,6 +12,7 @@
     let metrics = daemon.recorder().metrics();
     let open = daemon.runners().all().iter().filter(|remote| remote.sender().is_some()).count();
     metrics.links(LinkKind::Runner, open);
+    metrics.links(LinkKind::Entry, daemon.peers().count());
     metrics.config_version(daemon.config_version().get());
     metrics.encode()
 }
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -59,6 +60,13 @@
         self.lock().values().any(|peer| peer.name == name)
     }
 
+    /// Returns how many other daemons there are links to.
+    pub fn count(&self) -> usize {
+        let links = self.lock();
+        let names: BTreeSet<&String> = links.values().map(|peer| &peer.name).collect();
+        names.len()
+    }
+
     /// Sends a frame to a daemon when there is a link with room.
     pub fn send(&self, name: &str, body: Body) {
         if let Some(peer) = self.lock().values().rev().find(|peer| peer.name == name) {
--- a/crates/support/src/fleet/builder.rs
+++ b/crates/support/src/fleet/builder.rs
@@ -41,6 +41,7 @@
 pub struct Builder {
     binaries: Binaries,
     entries: usize,
+    listed: usize,
     engines: usize,
     services: usize,
     engine: engine::Settings,
@@ -55,6 +56,7 @@
         Self {
             binaries,
             entries: 2,
+            listed: usize::MAX,
             engines: 2,
             services: 0,
             engine: engine::Settings::default(),
@@ -70,6 +72,12 @@
         self
     }
 
+    /// Sets how many entry daemons the platform lists, the first ones; all unless set.
+    pub const fn listed(mut self, count: usize) -> Self {
+        self.listed = count;
+        self
+    }
+
     /// Sets the number of engines.
     pub const fn engines(mut self, count: usize) -> Self {
         self.engines = count;
@@ -136,7 +144,7 @@
         assert_eq!(outcome, Outcome::Accepted(Version::new(1)));
         let entries: Vec<Entry> =
             (0..self.entries).map(|i| self.entry(&folder, ip, i, &platform)).collect();
-        entries.iter().for_each(|entry| platform.set_vm(entry.vm(ZONE)));
+        entries.iter().take(self.listed).for_each(|entry| platform.set_vm(entry.vm(ZONE)));
         let binaries = self.binaries;
         let fleet = Fleet { binaries, folder, ip, platform, entries, runners, configuration };
         fleet.ready().await;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod command;
 mod configuration;
 mod drain;
+mod membership;
 mod memory;
 mod path;
 mod sessions;
--- a/xtask/src/demo/fleet.rs
+++ b/xtask/src/demo/fleet.rs
@@ -25,6 +25,8 @@
 const FOLDER: &str = "target/demo";
 /// Longest wait for all links.
 const LINKS_TIMEOUT: Duration = Duration::from_secs(20);
+/// Metric of the links to runner processes.
+const RUNNER_LINKS: &str = "kumquattiller_links{peer=\"runner\"}";
 /// Pause between looks at the links.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -118,7 +120,7 @@
         for entry in &self.entries {
             wait_until_ready(&format!("{}/readyz", entry.url())).await?;
             let wanted = self.runners.len() as f64;
-            while entry.metric("kumquattiller_links{").await? < wanted {
+            while entry.metric(RUNNER_LINKS).await? < wanted {
                 if begin.elapsed() > LINKS_TIMEOUT {
                     return Err(format!("{} has not all links", entry.process.name()).into());
                 }
--- a/xtask/src/slopes/rig.rs
+++ b/xtask/src/slopes/rig.rs
@@ -21,6 +21,8 @@
 const FOLDER: &str = "target/slopes";
 /// Longest wait for all links.
 const LINKS_TIMEOUT: Duration = Duration::from_secs(60);
+/// Metric of the links to runner processes.
+const RUNNER_LINKS: &str = "kumquattiller_links{peer=\"runner\"}";
 /// Pause between looks at the links.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a fleet settles before it is measured.
@@ -134,7 +136,7 @@
         for entry in &self.entries {
             wait_until_ready(&format!("{}/readyz", entry.url())).await?;
             let wanted = self.runners.len() as f64;
-            while entry.metric("kumquattiller_links{").await? < wanted {
+            while entry.metric(RUNNER_LINKS).await? < wanted {
                 if begin.elapsed() > LINKS_TIMEOUT {
                     return Err(format!("{} has not all links", entry.process.name()).into());
                 }
