--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -57,6 +57,7 @@
     runners: Pool,
     spread: Spread,
     peers: peers::Table,
+    members: peers::Members,
     recorder: Recorder,
     claims: Claims,
     suspects: Suspects,
@@ -79,6 +80,7 @@
         };
         let clock = Clock::start();
         let (claims, claims_inbox) = Claims::new(clock);
+        let members = peers::Members::new(&settings, &identity);
         let inner = Inner {
             platform: platform::Client::new(Transport::new(), &settings.platform_url),
             settings,
@@ -92,6 +94,7 @@
             runners: Pool::default(),
             spread: Spread::default(),
             peers: peers::Table::default(),
+            members,
             recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
@@ -126,6 +129,7 @@
     /// Fails readiness from now on.
     pub fn leave(&self) {
         if !self.inner.leaving.swap(true, Ordering::SeqCst) {
+            self.members().leave();
             log::info!(daemon:% = self.settings().id; "entry daemon is leaving");
         }
     }
@@ -254,6 +258,11 @@
         &self.inner.peers
     }
 
+    /// Returns the entry daemons of the availability zone, linked or not.
+    pub fn members(&self) -> &peers::Members {
+        &self.inner.members
+    }
+
     /// Tells whether a source confirmed the configuration in force lately.
     ///
     /// A version that was adopted and confirmed is put in force a moment later; until then the
--- a/crates/entry/src/peers/dialer.rs
+++ b/crates/entry/src/peers/dialer.rs
@@ -52,10 +52,16 @@
 
 async fn receive(daemon: &Daemon, peer: &str, mut receiver: Receiver) {
     while let Ok(Ok(Some(body))) = timeout(SILENCE_LIMIT, receiver.next()).await {
-        if let Body::Leave(leave) = &body {
-            daemon.on_leaving(leave);
-        } else {
-            source::take(daemon, peer, &body);
+        match body {
+            Body::Leave(leave) => daemon.on_leaving(&leave),
+            Body::Gossip(gossip) => {
+                if let Some(answer) = daemon.members().take(gossip, daemon.now()) {
+                    daemon.peers().send(peer, answer);
+                }
+            }
+            body => {
+                source::take(daemon, peer, &body);
+            }
         }
     }
 }
--- a/crates/membership/tests/fleet/mod.rs
+++ b/crates/membership/tests/fleet/mod.rs
@@ -46,7 +46,7 @@
         state: member.state.to_string(),
         config_version: 0,
     });
-    let gossip = link::Gossip { members: members.collect() };
+    let gossip = link::Gossip { members: members.collect(), asks: message.asks };
     let mut bytes = BytesMut::new();
     let frame = Frame { body: Some(Body::Gossip(gossip)) };
     Codec::default().encode(frame, &mut bytes).expect("a message fits a frame");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod drain;
 mod files;
+mod membership;
 mod memory;
 mod path;
 mod sessions;
