entry: account limits shared over the links between daemons

An account's limit is enforced by each daemon's share; demands go over the links between daemons each second. Left: between many zones a daemon hears only two daemons of each other zone, so it counts the others as unheard and takes less than its part.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -30,6 +30,8 @@
 use crate::claims;
 use crate::claims::Claims;
 use crate::http;
+use crate::limits;
+use crate::limits::Limits;
 use crate::link;
 use crate::peers;
 use crate::runners::Pool;
@@ -57,6 +59,7 @@
     runners: Pool,
     spread: Spread,
     peers: peers::Table,
+    limits: Limits,
     recorder: Recorder,
     claims: Claims,
     suspects: Suspects,
@@ -92,6 +95,7 @@
             runners: Pool::default(),
             spread: Spread::default(),
             peers: peers::Table::default(),
+            limits: Limits::default(),
             recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
@@ -116,6 +120,7 @@
         tokio::spawn(link::run(self.clone(), links));
         tokio::spawn(source::run(self.clone()));
         tokio::spawn(peers::run(self.clone()));
+        tokio::spawn(limits::run(self.clone()));
         self.serve_claims();
         tokio::spawn(suspects::run(self.clone()));
         shutdown.await;
@@ -229,6 +234,11 @@
         self.snapshot().configuration().version
     }
 
+    /// Returns the limits of client accounts.
+    pub fn limits(&self) -> &Limits {
+        &self.inner.limits
+    }
+
     /// Returns the runners that the daemon has links to.
     pub fn runners(&self) -> &Pool {
         &self.inner.runners
--- a/crates/entry/src/http/models.rs
+++ b/crates/entry/src/http/models.rs
@@ -1,5 +1,6 @@
 //! Handlers of model requests.
 
+use kumquattiller_base::account;
 use kumquattiller_base::deadline::Deadline;
 use kumquattiller_base::error;
 use kumquattiller_base::fingerprint::Fingerprint;
@@ -22,6 +23,7 @@
 use crate::http::resume;
 use crate::request::Admitted;
 use crate::request::hash_blocks;
+use crate::snapshot::Snapshot;
 
 /// Path of the engine's call.
 const ENGINE_PATH: &str = "/v1/completions";
@@ -68,6 +70,7 @@
     if !idempotent && key.is_none() {
         return Err(error::Kind::MissingKey.into());
     }
+    check_limit(daemon, &snapshot, &account, &parts)?;
     let span = deadline.unwrap_or_else(|| snapshot.deadline_of(&service));
     let id = daemon.new_request_id();
     let request = Admitted {
@@ -98,6 +101,21 @@
     Ok(answer::whole(id, shape, &parts.model, prompt, output).await)
 }
 
+/// Takes the request's tokens from the account's limit, or refuses it with the time to try again.
+fn check_limit(
+    daemon: &Daemon,
+    snapshot: &Snapshot,
+    account: &account::Id,
+    parts: &Parts,
+) -> Result<(), Error> {
+    let tokens = parts.tokens.saturating_add(parts.max_tokens);
+    let admitted = daemon.limits().admit(snapshot, account, tokens, daemon.now());
+    admitted.map_err(|refusal| Error {
+        retry_after: Some(refusal.retry_after),
+        ..Error::not_admitted(error::Kind::RateLimited)
+    })
+}
+
 /// Refuses a request that no reachable set of engines holds, naming the limit.
 fn check_size(parts: &Parts, largest: Tokens) -> Result<(), Error> {
     let wanted = parts.tokens.saturating_add(parts.max_tokens);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod daemon;
 pub mod drive;
 pub mod http;
+pub mod limits;
 pub mod link;
 pub mod peers;
 pub mod request;
--- a/crates/entry/src/link/session.rs
+++ b/crates/entry/src/link/session.rs
@@ -39,6 +39,10 @@
             let answer = match body {
                 Body::Explain(question) => self.explain(question),
                 Body::Heartbeat(heartbeat) => self.heartbeat(heartbeat),
+                Body::Demands(demands) if is_daemon => {
+                    self.daemon.limits().learn(&demands, self.daemon.now());
+                    continue;
+                }
                 Body::Leave(leave) => {
                     self.daemon.on_leaving(&leave);
                     continue;
--- a/crates/entry/src/peers/dialer.rs
+++ b/crates/entry/src/peers/dialer.rs
@@ -51,10 +51,12 @@
 
 async fn receive(daemon: &Daemon, peer: &str, mut receiver: Receiver) {
     while let Ok(Ok(Some(body))) = timeout(SILENCE_LIMIT, receiver.next()).await {
-        if let Body::Leave(leave) = &body {
-            daemon.on_leaving(leave);
-        } else {
-            source::take(daemon, peer, &body);
+        match &body {
+            Body::Leave(leave) => daemon.on_leaving(leave),
+            Body::Demands(demands) => daemon.limits().learn(demands, daemon.now()),
+            _ => {
+                source::take(daemon, peer, &body);
+            }
         }
     }
 }
--- a/crates/entry/src/peers/list.rs
+++ b/crates/entry/src/peers/list.rs
@@ -10,6 +10,7 @@
 
 use crate::Daemon;
 use crate::peers::chosen::Chosen;
+use crate::peers::chosen::ENTRY_ROLE;
 use crate::peers::chosen::choose;
 use crate::peers::dialer;
 
@@ -46,6 +47,8 @@
 /// are leaving.
 fn follow(daemon: &Daemon, vms: &[Vm], dialers: &mut HashMap<Chosen, AbortHandle>) {
     let settings = daemon.settings();
+    let others = vms.iter().filter(|vm| vm.role == ENTRY_ROLE && vm.name != settings.id.as_str());
+    daemon.limits().set_daemons(others.count() + 1);
     let is_linked = |name: &str| daemon.peers().is_linked(name);
     let chosen = choose(settings.id.as_str(), settings.zone.as_str(), vms, is_linked);
     dialers.retain(|peer, dialer| {
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -6,6 +6,7 @@
 use kumquattiller_clients::configuration;
 use kumquattiller_link::Sender;
 use kumquattiller_rollout::spread::is_watcher;
+use kumquattiller_wire::Body;
 
 use crate::Daemon;
 
@@ -19,6 +20,7 @@
 struct Peer {
     name: String,
     zone: String,
+    sender: Sender,
 }
 
 /// An open link in the table; dropping it takes it out.
@@ -38,8 +40,8 @@
 impl Table {
     /// Adds an open link to another entry daemon.
     pub fn connected(&self, daemon: &Daemon, name: &str, zone: &str, sender: Sender) -> Guard {
-        let link = daemon.spread().connected(name, sender);
-        let peer = Peer { name: name.to_owned(), zone: zone.to_owned() };
+        let link = daemon.spread().connected(name, sender.clone());
+        let peer = Peer { name: name.to_owned(), zone: zone.to_owned(), sender };
         self.lock().insert(link, peer);
         Guard { daemon: daemon.clone(), link }
     }
@@ -52,6 +54,15 @@
         is_watcher(zone, daemon.settings().id.as_str(), members)
     }
 
+    /// Sends a frame over one link to each daemon.
+    pub async fn send_to_all(&self, body: &Body) {
+        let by_name = |peer: &Peer| (peer.name.clone(), peer.sender.clone());
+        let senders: BTreeMap<String, Sender> = self.lock().values().map(by_name).collect();
+        for sender in senders.into_values() {
+            let _ = sender.send(body.clone()).await;
+        }
+    }
+
     /// Tells whether there is an open link to a daemon.
     pub fn is_linked(&self, name: &str) -> bool {
         self.lock().values().any(|peer| peer.name == name)
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -5,6 +5,7 @@
 
 use kumquattiller_base::account;
 use kumquattiller_base::place;
+use kumquattiller_base::rate::TokensPerSecond;
 use kumquattiller_base::service;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_inventory::Configuration;
@@ -75,6 +76,17 @@
         rules.iter().find(|rule| &rule.account == account).map_or(account::Rank::MAX, |r| r.rank)
     }
 
+    /// Returns the token-rate limit of a client account, if it has one.
+    pub fn limit_of(&self, account: &account::Id) -> Option<TokensPerSecond> {
+        self.limits().find(|(id, _)| *id == account).map(|(_, rate)| rate)
+    }
+
+    /// Returns the accounts that have a token-rate limit.
+    pub fn limits(&self) -> impl Iterator<Item = (&account::Id, TokensPerSecond)> {
+        let rules = self.configuration.rules.accounts.iter();
+        rules.filter_map(|rule| Some((&rule.account, rule.tokens_per_second?)))
+    }
+
     /// Tells whether a call may be repeated, by the first rule that fits or else by its kind.
     pub fn is_idempotent(&self, name: &service::Name, method: &str, path: &str) -> bool {
         let fits = |rule: &&kumquattiller_inventory::rules::Request| {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod memory;
 mod path;
+mod routing;
 mod sessions;
 mod settings;
 mod support;
