--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -30,6 +30,8 @@
 use crate::claims;
 use crate::claims::Claims;
 use crate::http;
+use crate::limits;
+use crate::limits::Limits;
 use crate::link;
 use crate::peers;
 use crate::runners::Pool;
@@ -58,6 +60,7 @@
     spread: Spread,
     peers: peers::Table,
     members: peers::Members,
+    limits: Limits,
     recorder: Recorder,
     claims: Claims,
     suspects: Suspects,
@@ -95,6 +98,7 @@
             spread: Spread::default(),
             peers: peers::Table::default(),
             members,
+            limits: Limits::default(),
             recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
@@ -119,6 +123,7 @@
         tokio::spawn(link::run(self.clone(), links));
         tokio::spawn(source::run(self.clone()));
         tokio::spawn(peers::run(self.clone()));
+        tokio::spawn(limits::run(self.clone()));
         self.serve_claims();
         tokio::spawn(suspects::run(self.clone()));
         shutdown.await;
@@ -233,6 +238,11 @@
         self.snapshot().configuration().version
     }
 
+    /// Returns the limits of client accounts.
+    pub fn limits(&self) -> &Limits {
+        &self.inner.limits
+    }
+
     /// Returns the runners that the daemon has links to.
     pub fn runners(&self) -> &Pool {
         &self.inner.runners
--- a/crates/entry/src/link/session.rs
+++ b/crates/entry/src/link/session.rs
@@ -47,6 +47,10 @@
                         None => continue,
                     }
                 }
+                Body::Demands(demands) if is_daemon => {
+                    self.daemon.limits().learn(&demands, self.daemon.now());
+                    continue;
+                }
                 Body::Leave(leave) => {
                     self.daemon.on_leaving(&leave);
                     continue;
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -55,6 +55,15 @@
         is_watcher(zone, daemon.settings().id.as_str(), members)
     }
 
+    /// Sends a frame over one link to each daemon.
+    pub async fn send_to_all(&self, body: &Body) {
+        let by_name = |peer: &Peer| (peer.name.clone(), peer.sender.clone());
+        let senders: BTreeMap<String, Sender> = self.lock().values().map(by_name).collect();
+        for sender in senders.into_values() {
+            let _ = sender.send(body.clone()).await;
+        }
+    }
+
     /// Tells whether there is an open link to a daemon.
     pub fn is_linked(&self, name: &str) -> bool {
         self.lock().values().any(|peer| peer.name == name)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod memory;
 mod path;
+mod routing;
 mod sessions;
 mod settings;
 mod support;
