--- /dev/null
+++ b/crates/planner/tests/world/engine.rs
@@ -0,0 +1,56 @@
+use kumquattiller_dialect::engine::Command;
+use kumquattiller_dialect::engine::Order;
+use kumquattiller_dialect::engine::State;
+use kumquattiller_planner::Fencing;
+
+/// An engine that checks fencing numbers or ignores them.
+pub struct Engine {
+    pub state: State,
+    /// Fencing numbers of the orders that took effect since the engine's start.
+    pub applied: Vec<u64>,
+    checks: bool,
+    running: Option<Order>,
+}
+
+impl Engine {
+    pub fn new(checks: bool) -> Self {
+        Self { state: State::default(), applied: Vec::new(), checks, running: None }
+    }
+
+    pub fn begin(&mut self, order: Order) {
+        assert!(self.running.is_none(), "two commands at a time");
+        self.running = Some(order);
+    }
+
+    /// Carries out the running order, or refuses it with the highest number seen.
+    pub fn finish(&mut self) -> Option<Result<(), Fencing>> {
+        let order = self.running.take()?;
+        if self.checks && order.fencing < self.state.fencing {
+            return Some(Err(Fencing::new(self.state.fencing)));
+        }
+        if self.checks {
+            self.state.fencing = order.fencing;
+        }
+        self.applied.push(order.fencing);
+        match order.command {
+            Command::LoadModel(model) => {
+                self.state.models.retain(|m| m.name != model.name);
+                self.state.models.push(model);
+            }
+            Command::UnloadModel { name } => self.state.models.retain(|m| m.name != name),
+            _ => {}
+        }
+        Some(Ok(()))
+    }
+
+    pub fn cut(&mut self) {
+        self.running = None;
+    }
+
+    pub fn restart(&mut self) {
+        let incarnation = self.state.incarnation + 1;
+        self.state = State { incarnation, ..State::default() };
+        self.applied.clear();
+        self.running = None;
+    }
+}
