--- a/crates/planner/src/executor/machine.rs
+++ b/crates/planner/src/executor/machine.rs
@@ -18,7 +18,7 @@
 pub struct Executor {
     confirmed: bool,
     highest: Number,
-    target: Option<Target>,
+    ordered: Option<Order>,
     /// Incarnation of the engine on which the target was met.
     met: Option<u64>,
     busy: bool,
@@ -54,10 +54,10 @@
             return Err(Refusal::Old { highest: self.highest.fencing });
         }
         self.raise(order.number);
-        if self.target.as_ref() != Some(&order.target) {
-            self.target = Some(order.target);
+        if self.ordered.as_ref().is_none_or(|ordered| ordered.target != order.target) {
             self.met = None;
         }
+        self.ordered = Some(order);
         Ok(())
     }
 
@@ -70,17 +70,17 @@
     ///
     /// After an order was given, nothing follows until [`Self::done`].
     pub fn observe(&mut self, state: &State) -> Report {
-        let Some(target) = self.target.as_ref().filter(|_| !self.busy) else {
+        let Some(ordered) = self.ordered.as_ref().filter(|_| !self.busy) else {
             return Report::default();
         };
-        let Some(command) = next_command(target, state) else {
+        let Some(command) = next_command(&ordered.target, state) else {
             self.met = Some(state.incarnation);
             return Report::default();
         };
         let drifted = self.met == Some(state.incarnation);
         self.met = None;
         self.busy = true;
-        let order = engine::Order { fencing: self.highest.fencing.get(), command };
+        let order = engine::Order { fencing: ordered.number.fencing.get(), command };
         Report { order: Some(order), drifted }
     }
 
@@ -94,13 +94,13 @@
         self.busy = false;
         if engine > self.highest.fencing {
             self.raise(Number { fencing: engine, sequence: 0 });
-            self.target = None;
+            self.ordered = None;
         }
     }
 
     fn raise(&mut self, number: Number) {
         if number.fencing > self.highest.fencing {
-            self.target = None;
+            self.ordered = None;
             self.met = None;
         }
         self.highest = self.highest.max(number);
--- a/crates/planner/src/plan/pace.rs
+++ b/crates/planner/src/plan/pace.rs
@@ -32,7 +32,8 @@
             self.taken.pop_front();
         }
         let fits = self.taken.len() + loads <= self.per_minute;
-        if !fits && !(self.taken.is_empty() && loads > self.per_minute && self.per_minute > 0) {
+        let over_a_minute = self.taken.is_empty() && self.per_minute > 0;
+        if !fits && !over_a_minute {
             return false;
         }
         self.taken.extend(std::iter::repeat_n(now, loads));
--- /dev/null
+++ b/crates/planner/tests/executor.rs
@@ -0,0 +1,67 @@
+//! Cases of the executor beside an engine.
+
+use kumquattiller_dialect::engine::Command;
+use kumquattiller_dialect::engine::Model;
+use kumquattiller_dialect::engine::State;
+use kumquattiller_planner::Fencing;
+use kumquattiller_planner::executor::Executor;
+use kumquattiller_planner::executor::Number;
+use kumquattiller_planner::executor::Order;
+use kumquattiller_planner::executor::Refusal;
+use kumquattiller_planner::plan::Target;
+use test_case::test_case;
+
+fn model() -> Model {
+    Model { name: "writing".to_owned(), version: "2".to_owned() }
+}
+
+fn order(fencing: u64, sequence: u64) -> Order {
+    let target = Target { models: [model()].into(), ..Target::default() };
+    Order { number: Number { fencing: Fencing::new(fencing), sequence }, target }
+}
+
+fn executor(lease: u64) -> Executor {
+    let mut executor = Executor::new();
+    executor.confirm(Fencing::new(lease));
+    executor
+}
+
+#[test_case(4, 9, Err(Refusal::Old { highest: Fencing::new(5) }); "lease before")]
+#[test_case(5, 1, Ok(()); "same lease")]
+#[test_case(6, 1, Ok(()); "lease after")]
+fn number_decides(fencing: u64, sequence: u64, expected: Result<(), Refusal>) {
+    assert_eq!(executor(5).order(order(fencing, sequence)), expected);
+}
+
+#[test]
+fn nothing_is_taken_before_the_lease_was_read() {
+    let mut executor = Executor::new();
+    assert_eq!(executor.order(order(9, 1)), Err(Refusal::Unconfirmed));
+    assert_eq!(executor.observe(&State::default()).order, None);
+}
+
+#[test]
+fn manual_change_is_reported_and_put_back() {
+    let mut executor = executor(1);
+    executor.order(order(1, 1)).expect("current");
+    let first = executor.observe(&State::default());
+    assert!(!first.drifted);
+    executor.done();
+    let met = State { models: vec![model()], ..State::default() };
+    assert_eq!(executor.observe(&met).order, None);
+    let drift = executor.observe(&State::default());
+    assert!(drift.drifted);
+    let command = drift.order.expect("an order").command;
+    assert_eq!(command, Command::LoadModel(model()));
+}
+
+#[test]
+fn engine_that_saw_a_newer_lease_ends_the_older_order() {
+    let mut executor = executor(1);
+    executor.order(order(1, 1)).expect("current");
+    executor.observe(&State::default()).order.expect("an order");
+    executor.superseded(Fencing::new(7));
+    assert_eq!(executor.observe(&State::default()).order, None);
+    let expected = Refusal::Old { highest: Fencing::new(7) };
+    assert_eq!(executor.order(order(1, 2)), Err(expected));
+}
