--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,6 +1,9 @@
 //! The shared state of an entry daemon, and its start and stop.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -8,23 +11,35 @@
 use kumquattiller_base::request;
 use kumquattiller_base::time::Moment;
 use kumquattiller_clients::Transport;
+use kumquattiller_clients::configuration::Spread;
 use kumquattiller_clients::platform;
 use kumquattiller_inventory::configuration;
 use kumquattiller_link::Clock;
 use kumquattiller_link::Identity;
 use kumquattiller_link::incarnation;
+use kumquattiller_recovery::retry::Budget;
 use kumquattiller_telemetry::Recorder;
+use kumquattiller_wire::Body;
+use kumquattiller_wire::link::Leave;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::Settings;
+use crate::claims;
+use crate::claims::Claims;
 use crate::http;
 use crate::link;
+use crate::peers;
 use crate::runners::Pool;
 use crate::snapshot::Snapshot;
 use crate::source;
+use crate::suspects;
+use crate::suspects::Suspects;
+
+/// Longest wait at a stop for outcomes to be recorded.
+const CLAIMS_FLUSH_LIMIT: Duration = Duration::from_secs(5);
 
 /// An entry daemon; clones share one state.
 #[derive(Debug, Clone)]
@@ -40,7 +55,13 @@
     platform: platform::Client,
     snapshots: watch::Sender<Arc<Snapshot>>,
     runners: Pool,
+    spread: Spread,
+    peers: peers::Table,
     recorder: Recorder,
+    claims: Claims,
+    suspects: Suspects,
+    retries: Mutex<Budget>,
+    claims_inbox: Mutex<Option<claims::Inbox>>,
     work: TaskTracker,
     leaving: AtomicBool,
     refusing: AtomicBool,
@@ -56,13 +77,21 @@
             zone: settings.zone.to_string(),
             role: "entry".to_owned(),
         };
+        let clock = Clock::start();
+        let (claims, claims_inbox) = Claims::new(clock);
         let inner = Inner {
             platform: platform::Client::new(Transport::new(), &settings.platform_url),
             settings,
             identity,
-            clock: Clock::start(),
+            clock,
+            claims,
+            suspects: Suspects::default(),
+            retries: Mutex::default(),
+            claims_inbox: Mutex::new(Some(claims_inbox)),
             snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
             runners: Pool::default(),
+            spread: Spread::default(),
+            peers: peers::Table::default(),
             recorder: Recorder::default(),
             work: TaskTracker::new(),
             leaving: AtomicBool::new(false),
@@ -86,24 +115,70 @@
         );
         tokio::spawn(link::run(self.clone(), links));
         tokio::spawn(source::run(self.clone()));
+        tokio::spawn(peers::run(self.clone()));
+        self.serve_claims();
+        tokio::spawn(suspects::run(self.clone()));
         shutdown.await;
         self.stop(server).await;
         Ok(())
     }
 
+    /// Fails readiness from now on.
+    pub fn leave(&self) {
+        if !self.inner.leaving.swap(true, Ordering::SeqCst) {
+            log::info!(daemon:% = self.settings().id; "entry daemon is leaving");
+        }
+    }
+
+    /// Acts on the word that a VM is leaving: stops being ready when it is the own one, tells the
+    /// runner process when there is a link to it.
+    pub fn on_leaving(&self, leave: &Leave) {
+        if leave.runner == self.settings().id.as_str() {
+            self.leave();
+            return;
+        }
+        let remote = leave.runner.parse().ok().and_then(|id| self.runners().get(&id));
+        if let Some(sender) = remote.and_then(|remote| remote.sender()) {
+            sender.try_send(Body::Leave(leave.clone()));
+        }
+    }
+
     /// Fails readiness, then refuses requests, then waits for those under way.
     async fn stop(&self, server: http::Server) {
-        self.inner.leaving.store(true, Ordering::SeqCst);
-        log::info!(daemon:% = self.settings().id; "entry daemon is leaving");
+        self.leave();
         tokio::time::sleep(Duration::from_millis(self.settings().drain_grace_ms)).await;
         self.inner.refusing.store(true, Ordering::SeqCst);
         self.inner.work.close();
         self.inner.work.wait().await;
+        self.claims().flush(CLAIMS_FLUSH_LIMIT).await;
         server.stop().await;
         self.inner.stopped.cancel();
         log::info!(daemon:% = self.settings().id; "entry daemon ends");
     }
 
+    /// Serves claims, once.
+    fn serve_claims(&self) {
+        let inbox = self.inner.claims_inbox.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(inbox) = inbox {
+            tokio::spawn(claims::run(self.clone(), inbox));
+        }
+    }
+
+    /// Returns the requests that ran when engines died.
+    pub fn suspects(&self) -> &Suspects {
+        &self.inner.suspects
+    }
+
+    /// Returns the retries that may still be made.
+    pub fn retries(&self) -> MutexGuard<'_, Budget> {
+        self.inner.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the claims of non-idempotent requests.
+    pub fn claims(&self) -> &Claims {
+        &self.inner.claims
+    }
+
     /// Runs a task that a graceful stop waits for.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         self.inner.work.spawn(task);
@@ -169,10 +244,30 @@
         self.recorder().note(self.now(), request, decision);
     }
 
+    /// Returns the spread of configuration over the links.
+    pub fn spread(&self) -> &Spread {
+        &self.inner.spread
+    }
+
+    /// Returns the entry daemons that this daemon has links to.
+    pub fn peers(&self) -> &peers::Table {
+        &self.inner.peers
+    }
+
+    /// Tells whether a source confirmed the configuration in force lately.
+    ///
+    /// A version that was adopted and confirmed is put in force a moment later; until then the
+    /// one in force is old.
+    pub fn is_fresh(&self) -> bool {
+        let spread = self.spread();
+        spread.state(self.now()).is_ready() && spread.version() == self.config_version()
+    }
+
     /// Tells whether the balancer may send requests here.
     pub fn is_ready(&self) -> bool {
         !self.inner.leaving.load(Ordering::SeqCst)
             && self.config_version() != configuration::Version::NONE
+            && self.is_fresh()
     }
 
     /// Tells whether new requests are refused.
--- a/crates/entry/src/drive/mod.rs
+++ b/crates/entry/src/drive/mod.rs
@@ -2,7 +2,9 @@
 
 mod driver;
 mod output;
-mod stream;
+mod permit;
+mod repeat;
+mod run;
 
 pub use driver::Driver;
 pub use output::Chunk;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,15 +7,18 @@
 //! [`snapshot::Snapshot`] of the accepted configuration, kept by [`source`]; [`link`] answers
 //! other daemons and operators.
 
+pub mod claims;
 pub mod daemon;
 pub mod drive;
 pub mod http;
 pub mod link;
+pub mod peers;
 pub mod request;
 pub mod runners;
 pub mod settings;
 pub mod snapshot;
 pub mod source;
+pub mod suspects;
 
 pub use daemon::Daemon;
 pub use settings::Settings;
--- a/crates/routing/src/table/mod.rs
+++ b/crates/routing/src/table/mod.rs
@@ -8,6 +8,7 @@
 
 use std::collections::HashMap;
 
+use kumquattiller_base::place::Zone;
 use kumquattiller_base::runner::Id;
 use kumquattiller_base::time::Moment;
 
@@ -25,14 +26,16 @@
 }
 
 impl Table {
-    /// Adds a runner, or takes over a changed distance.
-    pub fn insert(&mut self, id: Id, distance: Distance) {
+    /// Adds a runner, or takes over its changed place.
+    pub fn insert(&mut self, id: Id, zone: Zone, distance: Distance) {
         if let Some(&slot) = self.slots.get(&id) {
+            self.runners[slot].zone = zone;
             self.runners[slot].distance = distance;
             return;
         }
         self.slots.insert(id.clone(), self.runners.len());
-        self.runners.push(Runner::new(id, distance));
+        self.runners.push(Runner::new(id, zone, distance));
+        self.rank();
     }
 
     /// Removes a runner.
@@ -44,6 +47,7 @@
         if let Some(moved) = self.runners.get(slot) {
             self.slots.insert(moved.id.clone(), slot);
         }
+        self.rank();
     }
 
     /// Takes in a report; what was sent before it counts as included.
@@ -79,6 +83,11 @@
         self.slots.get(id).map(|&slot| &self.runners[slot])
     }
 
+    /// Returns the place of a runner in [`Table::runners`].
+    pub fn slot(&self, id: &Id) -> Option<usize> {
+        self.slots.get(id).copied()
+    }
+
     /// Returns the runners.
     pub fn runners(&self) -> &[Runner] {
         &self.runners
@@ -94,6 +103,15 @@
         self.runners.is_empty()
     }
 
+    /// Orders the runners by their hashes.
+    fn rank(&mut self) {
+        let mut order: Vec<usize> = (0..self.runners.len()).collect();
+        order.sort_unstable_by_key(|&slot| self.runners[slot].hash);
+        for (rank, slot) in order.into_iter().enumerate() {
+            self.runners[slot].rank = rank;
+        }
+    }
+
     fn get_mut(&mut self, id: &Id) -> Option<&mut Runner> {
         self.slots.get(id).map(|&slot| &mut self.runners[slot])
     }
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod process;
 pub mod reconcile;
 pub mod settings;
+pub mod suspects;
 pub mod work;
 
 pub use process::Process;
--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use kumquattiller_base::error;
@@ -21,9 +22,14 @@
 use crate::job::Job;
 use crate::link::frames;
 use crate::link::incoming::Incoming;
-use crate::link::subscription;
+use crate::link::subscriptions::Subscriptions;
 use crate::work;
 
+/// When a suspect is to be tried again that was refused for another one's sake.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(200);
+/// Role of entry daemons on a link.
+const ENTRY_ROLE: &str = "entry";
+
 /// One link from an entry daemon.
 #[derive(Debug)]
 pub struct Session {
@@ -33,19 +39,31 @@
     /// The peer as an owner of engine memory.
     owner: Option<Daemon>,
     incoming: HashMap<Attempt, Incoming>,
+    subscriptions: Subscriptions,
 }
 
 impl Session {
     /// Begins a session on an open link.
     pub fn new(process: Process, sender: Sender, peer: Identity) -> Self {
+        let subscriptions = Subscriptions::new(process.clone(), sender.clone());
         let id = peer.name.parse().ok();
         let incarnation = peer.incarnation.into();
         let owner = id.map(|id| Daemon { id, incarnation });
-        Self { process, sender, peer, owner, incoming: HashMap::new() }
+        Self { process, sender, peer, owner, incoming: HashMap::new(), subscriptions }
     }
 
     /// Serves frames until the link closes.
-    pub async fn run(mut self, mut receiver: Receiver) {
+    pub async fn run(mut self, receiver: Receiver) {
+        let name = self.peer.name.clone();
+        let spread = (self.peer.role == ENTRY_ROLE)
+            .then(|| self.process.spread().connected(&name, self.sender.clone()));
+        self.receive(receiver).await;
+        if let Some(spread) = spread {
+            self.process.spread().disconnected(spread);
+        }
+    }
+
+    async fn receive(&mut self, mut receiver: Receiver) {
         loop {
             let body = match receiver.next().await {
                 Ok(Some(body)) => body,
@@ -64,12 +82,19 @@
     /// Serves one frame.
     async fn serve(&mut self, body: Body) -> Result<(), Error> {
         self.renew();
+        if let Some(task) =
+            self.process.spread().take(&self.peer.name, &body, self.process.now())?
+        {
+            self.process.finish_task(task);
+            return Ok(());
+        }
         match body {
             Body::Start(start) => self.start(start).await,
             Body::BodyPart(part) => self.body_part(&part).await,
             Body::Cancel(cancel) => self.cancel(cancel),
             Body::Resume(resume) => self.resume(&resume).await,
             Body::Heartbeat(heartbeat) => self.heartbeat(&heartbeat).await,
+            Body::Leave(leave) => self.leave(&leave),
             Body::Explain(question) => self.explain(question).await,
             _ => Err(Error::Invalid("body")),
         }
@@ -149,12 +174,17 @@
 
     /// Creates the job, tells the entry daemon and starts the work.
     async fn accept(
-        &self,
+        &mut self,
         attempt: Attempt,
         start: link::Start,
         body: Bytes,
         promise: Promise,
     ) -> Result<(), Error> {
+        if !self.process.suspects().enter(attempt, &start) {
+            let load = self.process.load();
+            let kind = error::Kind::Overloaded;
+            return self.send(frames::refused(attempt, kind, Some(SUSPECT_PAUSE), load)).await;
+        }
         let (job, added) = self.process.jobs().add(Job::new(attempt, start));
         let accepted = link::Accepted {
             attempt: Some(attempt.into()),
@@ -169,18 +199,19 @@
         Ok(())
     }
 
-    /// Cancels an attempt.
+    /// Cancels an attempt, or stops copying its answer to this link.
     fn cancel(&mut self, cancel: link::Cancel) -> Result<(), Error> {
         let attempt = Attempt::from_field(cancel.attempt)?;
         self.incoming.remove(&attempt);
-        if let Some(job) = self.process.jobs().get(attempt) {
+        self.subscriptions.end(attempt);
+        if let Some(job) = self.process.jobs().get(attempt).filter(|_| !cancel.detach) {
             job.cancel().cancel();
         }
         Ok(())
     }
 
     /// Continues an attempt that was started through another link.
-    async fn resume(&self, resume: &link::Resume) -> Result<(), Error> {
+    async fn resume(&mut self, resume: &link::Resume) -> Result<(), Error> {
         let attempt = Attempt::from_field(resume.attempt)?;
         let own = resume.incarnation == self.process.identity().incarnation;
         let job = self.process.jobs().get(attempt).filter(|job| {
@@ -207,6 +238,17 @@
         self.send(Body::Explained(link::Explained { request: Some(id.into()), lines })).await
     }
 
+    /// Takes no new work when the word is about the own backend server.
+    fn leave(&self, leave: &link::Leave) -> Result<(), Error> {
+        let own = self.process.identity();
+        let names_start = leave.incarnation == 0 || leave.incarnation == own.incarnation;
+        if leave.runner != own.name || !names_start {
+            return Err(Error::Invalid("runner"));
+        }
+        self.process.leave();
+        Ok(())
+    }
+
     /// Answers a heartbeat with the load.
     async fn heartbeat(&self, heartbeat: &link::Heartbeat) -> Result<(), Error> {
         if heartbeat.reply {
@@ -217,6 +259,7 @@
             load: Some(self.process.load().into()),
             nonce: heartbeat.nonce,
             reply: true,
+            ready: self.process.is_fresh(),
         };
         self.send(Body::Heartbeat(reply)).await
     }
@@ -228,14 +271,13 @@
         }
     }
 
-    fn subscribe(&self, job: Arc<Job>, offset: u64) {
+    fn subscribe(&mut self, job: Arc<Job>, offset: u64) {
         if let Some(owner) = &self.owner {
             let item = work::item_of(job.attempt());
             // An item that has ended needs no owner.
             let _ = self.process.memory().table().claim(&item, owner, self.process.now());
         }
-        let sender = self.sender.clone();
-        tokio::spawn(subscription::run(self.process.clone(), sender, job, offset));
+        self.subscriptions.add(job, offset);
     }
 
     async fn send(&self, body: Body) -> Result<(), Error> {
--- a/crates/support/src/fleet/builder.rs
+++ b/crates/support/src/fleet/builder.rs
@@ -3,8 +3,14 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-use kumquattiller_entry::source;
+use kumquattiller_clients::Transport;
+use kumquattiller_clients::configuration::Store;
+use kumquattiller_clients::configuration::commit;
+use kumquattiller_clients::platform::Client;
 use kumquattiller_inventory::Configuration;
+use kumquattiller_inventory::Version;
+use kumquattiller_inventory::section::Items;
+use kumquattiller_rollout::commit::Outcome;
 use kumquattiller_standins::engine;
 use kumquattiller_standins::platform;
 use kumquattiller_standins::service;
@@ -124,9 +130,13 @@
             runners.push(self.runner(&folder, ip, index, backend, &url, &platform).await);
         }
         let configuration = self.configuration(&runners);
-        let value = serde_json::to_value(&configuration).expect("configuration is JSON");
-        platform.put(source::KIND, source::NAME, value);
-        let entries = (0..self.entries).map(|i| self.entry(&folder, ip, i, &platform)).collect();
+        let client = Client::new(Transport::new(), &platform.url());
+        let items = Items::of(&configuration);
+        let outcome = commit(&Store::new(client), items).await;
+        assert_eq!(outcome, Outcome::Accepted(Version::new(1)));
+        let entries: Vec<Entry> =
+            (0..self.entries).map(|i| self.entry(&folder, ip, i, &platform)).collect();
+        entries.iter().for_each(|entry| platform.set_vm(entry.vm(ZONE)));
         let binaries = self.binaries;
         let fleet = Fleet { binaries, folder, ip, platform, entries, runners, configuration };
         fleet.ready().await;
--- a/crates/support/src/fleet/entry.rs
+++ b/crates/support/src/fleet/entry.rs
@@ -2,7 +2,11 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use kumquattiller_dialect::platform::Phase;
+use kumquattiller_dialect::platform::Vm;
+
 use crate::fleet::Binaries;
+use crate::fleet::STOP_LIMIT;
 use crate::program::Program;
 
 /// An entry daemon of a fleet.
@@ -21,6 +25,26 @@
 }
 
 impl Entry {
+    /// Waits for the end of a process that was asked to stop.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not end in time.
+    pub async fn stopped(&mut self) {
+        self.program.exit_code(STOP_LIMIT).await;
+    }
+
+    /// Returns the daemon as the platform lists it.
+    pub fn vm(&self, zone: &str) -> Vm {
+        Vm {
+            name: self.id.clone(),
+            address: self.link.to_string(),
+            zone: zone.to_owned(),
+            role: "entry".to_owned(),
+            phase: Phase::Live,
+        }
+    }
+
     /// Starts the process again with the same settings.
     pub fn restart(&mut self, binaries: &Binaries) {
         self.program = start(binaries, &self.settings);
