orders: planned under the store lease, carried out beside engines

A runner process reads the lease once before it takes its first order, because its own memory of the highest number ends with it. OrderResult carries the engine's state and the count of manual changes.

Ruled out: every daemon sending the committed plan (each would read it, which the store's read rate does not carry); executors that trust the first number they see after a restart.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -31,6 +31,8 @@
 use crate::claims::Claims;
 use crate::http;
 use crate::link;
+use crate::orders;
+use crate::orders::Orders;
 use crate::peers;
 use crate::runners::Pool;
 use crate::snapshot::Snapshot;
@@ -55,6 +57,7 @@
     platform: platform::Client,
     snapshots: watch::Sender<Arc<Snapshot>>,
     runners: Pool,
+    orders: Orders,
     spread: Spread,
     peers: peers::Table,
     recorder: Recorder,
@@ -90,6 +93,7 @@
             claims_inbox: Mutex::new(Some(claims_inbox)),
             snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
             runners: Pool::default(),
+            orders: Orders::default(),
             spread: Spread::default(),
             peers: peers::Table::default(),
             recorder: Recorder::default(),
@@ -116,6 +120,7 @@
         tokio::spawn(link::run(self.clone(), links));
         tokio::spawn(source::run(self.clone()));
         tokio::spawn(peers::run(self.clone()));
+        tokio::spawn(orders::run(self.clone()));
         self.serve_claims();
         tokio::spawn(suspects::run(self.clone()));
         shutdown.await;
@@ -123,6 +128,11 @@
         Ok(())
     }
 
+    /// Returns what runner processes said of their engines.
+    pub fn orders(&self) -> &Orders {
+        &self.inner.orders
+    }
+
     /// Fails readiness from now on.
     pub fn leave(&self) {
         if !self.inner.leaving.swap(true, Ordering::SeqCst) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod drive;
 pub mod http;
 pub mod link;
+pub mod orders;
 pub mod peers;
 pub mod request;
 pub mod runners;
--- a/crates/entry/src/runners/dialer.rs
+++ b/crates/entry/src/runners/dialer.rs
@@ -102,6 +102,10 @@
         }
         return;
     }
+    if let Body::OrderResult(result) = &body {
+        daemon.orders().take(&remote.runner().id, result);
+        return;
+    }
     if let Body::Suspects(report) = &body {
         daemon.suspects().hear(report, daemon.now());
         return;
--- a/crates/planner/src/lease/contender.rs
+++ b/crates/planner/src/lease/contender.rs
@@ -23,9 +23,9 @@
 impl Default for Timing {
     fn default() -> Self {
         Self {
-            duration: Duration::from_secs(10),
-            renew: Duration::from_secs(3),
-            read: Duration::from_secs(3),
+            duration: Duration::from_secs(15),
+            renew: Duration::from_secs(4),
+            read: Duration::from_secs(10),
             margin: Duration::from_millis(500),
         }
     }
--- a/crates/planner/src/lease/mod.rs
+++ b/crates/planner/src/lease/mod.rs
@@ -5,6 +5,11 @@
 //! same version for the whole duration by its own clock. As the write began before the other saw
 //! its version, the holder's time is over first.
 
+/// Kind of the lease's object.
+pub const KIND: &str = "lease";
+/// Name of the lease's object.
+pub const NAME: &str = "engines";
+
 mod action;
 mod contender;
 mod record;
--- a/crates/planner/src/plan/mod.rs
+++ b/crates/planner/src/plan/mod.rs
@@ -1,5 +1,10 @@
 //! What each engine is ordered to have loaded.
 
+/// Kind of the plan's object.
+pub const KIND: &str = "plan";
+/// Name of the plan's object.
+pub const NAME: &str = "engines";
+
 mod document;
 mod pace;
 mod reports;
--- a/crates/planner/src/plan/pace.rs
+++ b/crates/planner/src/plan/pace.rs
@@ -14,6 +14,11 @@
 }
 
 impl Pace {
+    /// Begins with nothing taken, for the first holder of all.
+    pub const fn fresh(per_minute: u32) -> Self {
+        Self { per_minute: per_minute as usize, taken: VecDeque::new() }
+    }
+
     /// Begins with the whole minute taken, as a former holder may have taken it.
     pub fn spent(per_minute: u32, now: Moment) -> Self {
         let per_minute = per_minute as usize;
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod job;
 pub mod link;
+pub mod orders;
 pub mod process;
 pub mod reconcile;
 pub mod settings;
--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -95,6 +95,10 @@
             Body::Resume(resume) => self.resume(&resume).await,
             Body::Heartbeat(heartbeat) => self.heartbeat(&heartbeat).await,
             Body::Leave(leave) => self.leave(&leave),
+            Body::Order(order) => {
+                let result = self.process.orders().take(&order);
+                self.send(Body::OrderResult(result)).await
+            }
             Body::Explain(question) => self.explain(question).await,
             _ => Err(Error::Invalid("body")),
         }
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -30,6 +30,8 @@
 use crate::http;
 use crate::job;
 use crate::link;
+use crate::orders;
+use crate::orders::Orders;
 use crate::reconcile;
 use crate::suspects::Suspects;
 
@@ -51,6 +53,7 @@
     service: service::Client,
     memory: Account,
     jobs: job::Table,
+    orders: Orders,
     suspects: Suspects,
     recorder: Recorder,
     work: TaskTracker,
@@ -81,6 +84,7 @@
             identity,
             clock,
             jobs: job::Table::default(),
+            orders: Orders::default(),
             suspects,
             recorder: Recorder::default(),
             work: TaskTracker::new(),
@@ -108,6 +112,7 @@
         tokio::spawn(link::run(self.clone(), listener));
         tokio::spawn(self.clone().sweep());
         tokio::spawn(reconcile::run(self.clone()));
+        tokio::spawn(orders::run(self.clone()));
         shutdown.await;
         self.leave();
         self.finish().await;
@@ -175,6 +180,11 @@
         &self.inner.memory
     }
 
+    /// Returns the orders to the engine.
+    pub fn orders(&self) -> &Orders {
+        &self.inner.orders
+    }
+
     /// Returns the jobs.
     pub fn jobs(&self) -> &job::Table {
         &self.inner.jobs
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod drain;
 mod memory;
+mod orders;
 mod path;
 mod sessions;
 mod settings;
--- /dev/null
+++ b/tests/testsuite/orders.rs
@@ -0,0 +1,95 @@
+//! Orders to engines: what the rules ask is loaded, drift is put back, old orders are refused.
+
+use std::time::Duration;
+
+use kumquattiller_dialect::engine::Model;
+use kumquattiller_link::Identity;
+use kumquattiller_link::Link;
+use kumquattiller_planner::Fencing;
+use kumquattiller_planner::executor::Number;
+use kumquattiller_planner::executor::Order;
+use kumquattiller_planner::plan::Target;
+use kumquattiller_standins::engine;
+use kumquattiller_support::fleet::Fleet;
+use kumquattiller_support::fleet::MODEL;
+use kumquattiller_support::fleet::MODEL_SERVICE;
+use kumquattiller_support::wait;
+use kumquattiller_wire::Body;
+use kumquattiller_wire::link;
+use serde_json::json;
+use test_case::test_case;
+
+use crate::support::fleet;
+
+/// Longest wait for engines to have what is ordered.
+const ORDER_LIMIT: Duration = Duration::from_secs(20);
+/// Time in which a refused order would have taken effect.
+const REFUSED_WAIT: Duration = Duration::from_secs(3);
+
+fn wanted() -> Vec<Model> {
+    vec![Model { name: MODEL.to_owned(), version: "2".to_owned() }]
+}
+
+/// Starts a fleet whose rules ask for a version of the model.
+async fn ordered_fleet(checks_fencing: bool) -> Fleet {
+    let mut settings = engine::Settings { checks_fencing, ..engine::Settings::default() };
+    settings.timing.load_time = Duration::from_millis(50);
+    let models = json!([{"name": MODEL, "version": "2"}]);
+    let rules = json!({
+        "desired": [{"service": MODEL_SERVICE, "models": models}],
+        "loads_per_minute": 60,
+    });
+    fleet().entries(2).engines(2).engine(settings).rules(rules).start().await
+}
+
+async fn wait_until_loaded(fleet: &Fleet) {
+    wait::until("load of what is ordered", ORDER_LIMIT, async || {
+        (0..2).all(|index| fleet.engine(index).state().models == wanted())
+    })
+    .await;
+}
+
+#[test_case(true; "engines that check")]
+#[test_case(false; "engines that ignore")]
+#[tokio::test(flavor = "multi_thread")]
+async fn rules_are_carried_out_and_drift_is_put_back(checks_fencing: bool) {
+    let fleet = ordered_fleet(checks_fencing).await;
+    wait_until_loaded(&fleet).await;
+    // The runner process has to see the loaded state before a change of it counts as one by hand.
+    tokio::time::sleep(REFUSED_WAIT).await;
+    fleet.engine(0).change_state(|state| state.models.clear());
+    fleet.engine(1).change_state(|state| state.models[0].version = "1".to_owned());
+    wait_until_loaded(&fleet).await;
+    assert!(fleet.runners[0].program.log().contains("changed by hand"));
+}
+
+#[test_case(true; "engines that check")]
+#[test_case(false; "engines that ignore")]
+#[tokio::test(flavor = "multi_thread")]
+async fn order_of_an_old_lease_is_refused(checks_fencing: bool) {
+    let fleet = ordered_fleet(checks_fencing).await;
+    wait_until_loaded(&fleet).await;
+    let identity = Identity {
+        name: "entry-old".to_owned(),
+        incarnation: 1,
+        zone: "pasig".to_owned(),
+        role: "entry".to_owned(),
+    };
+    let mut old = Link::connect(fleet.runners[0].link, &identity, 0).await.expect("a link");
+    let model = Model { name: MODEL.to_owned(), version: "0".to_owned() };
+    let target = Target { models: [model].into(), ..Target::default() };
+    let number = Number { fencing: Fencing::new(0), sequence: 1_000 };
+    let data = serde_json::to_vec(&Order { number, target }).expect("an order is JSON");
+    let order = link::Order { id: 1, fencing: 0, data: data.into() };
+    old.sender.send(Body::Order(order)).await.expect("the link is open");
+    let result = loop {
+        match old.receiver.next().await.expect("the link is open") {
+            Some(Body::OrderResult(result)) => break result,
+            Some(_) => {}
+            None => panic!("the link closed"),
+        }
+    };
+    assert_eq!((result.kind.as_str(), result.highest_fencing), ("old_fencing", 1));
+    tokio::time::sleep(REFUSED_WAIT).await;
+    assert_eq!(fleet.engine(0).state().models, wanted());
+}
