--- a/tests/testsuite/orders.rs
+++ b/tests/testsuite/orders.rs
@@ -23,6 +23,8 @@
 
 /// Longest wait for engines to have what is ordered.
 const ORDER_LIMIT: Duration = Duration::from_secs(20);
+/// Longest wait for another daemon to take the lease: its duration and the pause between reads.
+const TAKEOVER_LIMIT: Duration = Duration::from_secs(40);
 /// Time in which a refused order would have taken effect.
 const REFUSED_WAIT: Duration = Duration::from_secs(3);
 
@@ -93,3 +95,33 @@
     tokio::time::sleep(REFUSED_WAIT).await;
     assert_eq!(fleet.engine(0).state().models, wanted());
 }
+
+/// Returns the holder's daemon, its fencing number and that of the plan.
+fn lease_of(fleet: &Fleet) -> (String, u64, u64) {
+    let lease = fleet.platform.list("lease").objects.remove(0).value;
+    let plan = fleet.platform.list("plan").objects.remove(0).value;
+    let holder = lease["holder"].as_str().expect("a holder").to_owned();
+    let number = |value: &serde_json::Value| value["fencing"].as_u64().expect("a number");
+    (holder, number(&lease), number(&plan))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn holder_that_was_paused_orders_nothing_more() {
+    let fleet = ordered_fleet(false).await;
+    wait_until_loaded(&fleet).await;
+    let (old, ..) = lease_of(&fleet);
+    let paused = fleet.entries.iter().find(|entry| old.starts_with(&format!("{}/", entry.id)));
+    let paused = paused.expect("the holder is of this fleet");
+    paused.program.freeze();
+    wait::until("a new holder with a plan", TAKEOVER_LIMIT, async || {
+        let (_, lease, plan) = lease_of(&fleet);
+        (lease, plan) == (2, 2)
+    })
+    .await;
+    paused.program.thaw();
+    tokio::time::sleep(REFUSED_WAIT).await;
+    let (holder, lease, plan) = lease_of(&fleet);
+    assert_ne!(holder, old);
+    assert_eq!((lease, plan), (2, 2));
+    assert_eq!(fleet.engine(0).state().models, wanted());
+}
