runner: reservations and segments of prompts larger than an engine

Reserve, Release and Prefill frames had no receiver. A segment is opened under its reservation before the engine computes it, so its KV has an owner from the start; a claim by another daemon takes the reservation along, for a stream's own claim would otherwise count its tokens twice.

--- a/crates/memory/src/table.rs
+++ b/crates/memory/src/table.rs
@@ -161,7 +161,7 @@
         Ok(())
     }
 
-    /// Gives an item to an entry daemon that continues it.
+    /// Gives an item to an entry daemon that continues it, with the reservation that covers it.
     ///
     /// # Errors
     ///
@@ -171,6 +171,13 @@
         if matches!(entry.phase, Phase::Releasing { .. }) {
             return Err(Refusal::UnknownItem);
         }
+        if let Some(Owner::Reservation(id)) = entry.owner()
+            && let Some(reservation) = self.reservations.get_mut(id)
+        {
+            reservation.daemon = daemon.clone();
+            self.renew(daemon, now);
+            return Ok(());
+        }
         let prefill = entry.is_prefill();
         *entry = Entry::held(Owner::Daemon(daemon.clone()), entry.tokens, prefill, now);
         self.renew(daemon, now);
--- a/crates/runner/src/link/mod.rs
+++ b/crates/runner/src/link/mod.rs
@@ -3,6 +3,7 @@
 mod frames;
 mod incoming;
 mod listener;
+mod segments;
 mod session;
 mod subscription;
 mod subscriptions;
--- /dev/null
+++ b/crates/runner/src/link/segments.rs
@@ -0,0 +1,158 @@
+//! Reservations, and segments of prompts that are larger than an engine.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use kumquattiller_base::error;
+use kumquattiller_base::size::Tokens;
+use kumquattiller_clients::engine::Error;
+use kumquattiller_dialect::engine;
+use kumquattiller_link::Sender;
+use kumquattiller_memory::Daemon;
+use kumquattiller_memory::Item;
+use kumquattiller_memory::Owner;
+use kumquattiller_memory::Refusal;
+use kumquattiller_memory::reservation;
+use kumquattiller_wire::Attempt;
+use kumquattiller_wire::Body;
+use kumquattiller_wire::link;
+use tokio::time::timeout;
+
+use crate::Process;
+use crate::work;
+
+/// A prefill whose body is not complete.
+#[derive(Debug)]
+pub struct Segment {
+    prefill: link::Prefill,
+    body: BytesMut,
+}
+
+impl Segment {
+    /// Waits for the body of a prefill.
+    pub fn new(prefill: link::Prefill) -> Self {
+        Self { prefill, body: BytesMut::new() }
+    }
+
+    /// Appends a part of the body; returns false when it does not fit.
+    pub fn append(&mut self, part: &link::Body) -> bool {
+        let end = part.offset.saturating_add(part.data.len() as u64);
+        let fits = part.offset == self.body.len() as u64 && end <= self.prefill.body_bytes;
+        if fits {
+            self.body.extend_from_slice(&part.data);
+        }
+        fits
+    }
+
+    /// Tells whether the body is complete.
+    pub fn is_complete(&self) -> bool {
+        self.body.len() as u64 == self.prefill.body_bytes
+    }
+}
+
+/// Sets memory aside, wholly or not at all.
+pub fn reserve(process: &Process, owner: Option<&Daemon>, frame: &link::Reserve) -> Body {
+    let kind = match owner {
+        _ if process.is_leaving() => Some(error::Kind::Leaving),
+        None => Some(error::Kind::Internal),
+        Some(owner) => {
+            let id = reservation::Id::new(frame.reservation);
+            let tokens = Tokens::new(frame.tokens);
+            let ttl = Duration::from_millis(frame.ttl_ms);
+            let mut table = process.memory().table();
+            table.reserve(id, owner, tokens, ttl, process.now()).err().map(kind_of)
+        }
+    };
+    Body::Reserved(link::Reserved {
+        reservation: frame.reservation,
+        granted: kind.is_none(),
+        kind: kind.map(|kind| kind.to_string()).unwrap_or_default(),
+        load: Some(process.load().into()),
+    })
+}
+
+/// Gives a reservation back with everything under it.
+pub fn release(process: &Process, frame: &link::Release) {
+    let id = reservation::Id::new(frame.reservation);
+    process.memory().table().release(id, process.now());
+}
+
+/// Computes a segment, exports its KV and answers.
+pub async fn run(process: Process, sender: Sender, segment: Segment) {
+    let number = segment.prefill.segment;
+    let attempt = segment.prefill.attempt;
+    let computed = match Attempt::from_field(attempt) {
+        Ok(attempt) => compute(&process, attempt, segment).await,
+        Err(_) => Err(error::Kind::Internal),
+    };
+    let (handle, kind) = match computed {
+        Ok(handle) => (Some(handle), String::new()),
+        Err(kind) => (None, kind.to_string()),
+    };
+    // A closed link is seen by the session, and the reservation then lapses.
+    let _ = sender
+        .send(Body::Prefilled(link::Prefilled { attempt, segment: number, handle, kind }))
+        .await;
+}
+
+async fn compute(
+    process: &Process,
+    attempt: Attempt,
+    segment: Segment,
+) -> Result<link::Handle, error::Kind> {
+    let prefill = segment.prefill;
+    let prompt = String::from_utf8(segment.body.to_vec());
+    let prompt = prompt.map_err(|_| error::Kind::MalformedBody)?;
+    let name = format!("{}-{}", work::stream_of(attempt), prefill.segment);
+    let item = Item::Stream(name.as_str().into());
+    let owner = Owner::Reservation(reservation::Id::new(prefill.reservation));
+    let tokens = Tokens::new(prefill.tokens);
+    let opened = process.memory().table().open(item.clone(), owner, tokens, true, process.now());
+    opened.map_err(kind_of)?;
+    let request = engine::Prefill {
+        request: name,
+        model: prefill.model,
+        prompt,
+        prompt_tokens: prefill.tokens,
+        priority: 0,
+        context: prefill.context.iter().map(work::handle).collect(),
+    };
+    let left = Duration::from_millis(prefill.left_ms);
+    let handle = match timeout(left, process.engine().prefill(&request)).await {
+        Ok(Ok(handle)) => handle,
+        Ok(Err(error)) => return Err(give_up(process, &item, fault(&error))),
+        Err(_) => return Err(give_up(process, &item, error::Kind::DeadlineExceeded)),
+    };
+    let kept = Item::Handle(handle.handle.as_str().into());
+    let converted = process.memory().table().convert(&item, kept, tokens, process.now());
+    converted.map_err(|_| error::Kind::Cancelled)?;
+    let exported = process.engine().export(&handle.handle).await.map_err(|e| fault(&e))?;
+    Ok(link::Handle {
+        runner: process.settings().id.to_string(),
+        engine: exported.engine,
+        handle: exported.handle,
+        tokens: exported.tokens,
+    })
+}
+
+/// Has a prefill freed that brought no handle.
+fn give_up(process: &Process, item: &Item, kind: error::Kind) -> error::Kind {
+    process.memory().table().close(item, process.now());
+    kind
+}
+
+fn fault(error: &Error) -> error::Kind {
+    match error {
+        Error::Refused(refusal) if refusal.kind == "memory_full" => error::Kind::MemoryFull,
+        Error::Refused(_) => error::Kind::BackendFailed,
+        Error::Fault(_) => error::Kind::RunnerLost,
+    }
+}
+
+const fn kind_of(refusal: Refusal) -> error::Kind {
+    match refusal {
+        Refusal::Full => error::Kind::MemoryFull,
+        Refusal::UnknownReservation | Refusal::UnknownItem => error::Kind::ResumeGone,
+        Refusal::Taken => error::Kind::InProgress,
+    }
+}
--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -12,6 +12,7 @@
 use kumquattiller_link::Sender;
 use kumquattiller_memory::Daemon;
 use kumquattiller_memory::Owner;
+use kumquattiller_memory::reservation;
 use kumquattiller_wire::Attempt;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::Error;
@@ -22,6 +23,8 @@
 use crate::job::Job;
 use crate::link::frames;
 use crate::link::incoming::Incoming;
+use crate::link::segments;
+use crate::link::segments::Segment;
 use crate::link::subscriptions::Subscriptions;
 use crate::work;
 
@@ -39,6 +42,7 @@
     /// The peer as an owner of engine memory.
     owner: Option<Daemon>,
     incoming: HashMap<Attempt, Incoming>,
+    segments: HashMap<Attempt, Segment>,
     subscriptions: Subscriptions,
 }
 
@@ -49,7 +53,15 @@
         let id = peer.name.parse().ok();
         let incarnation = peer.incarnation.into();
         let owner = id.map(|id| Daemon { id, incarnation });
-        Self { process, sender, peer, owner, incoming: HashMap::new(), subscriptions }
+        Self {
+            process,
+            sender,
+            peer,
+            owner,
+            incoming: HashMap::new(),
+            segments: HashMap::new(),
+            subscriptions,
+        }
     }
 
     /// Serves frames until the link closes.
@@ -95,6 +107,15 @@
             Body::Resume(resume) => self.resume(&resume).await,
             Body::Heartbeat(heartbeat) => self.heartbeat(&heartbeat).await,
             Body::Leave(leave) => self.leave(&leave),
+            Body::Reserve(frame) => {
+                let reserved = segments::reserve(&self.process, self.owner.as_ref(), &frame);
+                self.send(reserved).await
+            }
+            Body::Release(frame) => {
+                segments::release(&self.process, &frame);
+                Ok(())
+            }
+            Body::Prefill(prefill) => self.prefill(prefill),
             Body::Order(order) => {
                 let result = self.process.orders().take(&order);
                 self.send(Body::OrderResult(result)).await
@@ -145,13 +166,44 @@
         let owner = self.owner.clone().ok_or(error::Kind::Internal)?;
         let attempt = Attempt::from_field(start.attempt).map_err(|_| error::Kind::Internal)?;
         let item = work::item_of(attempt);
-        let promise = self.process.memory().promise(item, Owner::Daemon(owner), tokens);
+        let owner = match start.reservation {
+            0 => Owner::Daemon(owner),
+            id => Owner::Reservation(reservation::Id::new(id)),
+        };
+        let promise = self.process.memory().promise(item, owner, tokens);
         promise.map_err(|_| error::Kind::MemoryFull)
     }
 
+    /// Waits for the body of a segment.
+    fn prefill(&mut self, prefill: link::Prefill) -> Result<(), Error> {
+        let attempt = Attempt::from_field(prefill.attempt)?;
+        self.segments.insert(attempt, Segment::new(prefill));
+        self.compute_if_complete(attempt);
+        Ok(())
+    }
+
+    /// Computes a segment whose body is complete.
+    fn compute_if_complete(&mut self, attempt: Attempt) {
+        if !self.segments.get(&attempt).is_some_and(Segment::is_complete) {
+            return;
+        }
+        if let Some(segment) = self.segments.remove(&attempt) {
+            let task = segments::run(self.process.clone(), self.sender.clone(), segment);
+            self.process.spawn(task);
+        }
+    }
+
     /// Appends a part of a body.
     async fn body_part(&mut self, part: &link::Body) -> Result<(), Error> {
         let attempt = Attempt::from_field(part.attempt)?;
+        if let Some(segment) = self.segments.get_mut(&attempt) {
+            if !segment.append(part) {
+                self.segments.remove(&attempt);
+                return Err(Error::Invalid("offset"));
+            }
+            self.compute_if_complete(attempt);
+            return Ok(());
+        }
         let Some(incoming) = self.incoming.get_mut(&attempt) else {
             return Ok(());
         };
--- a/crates/runner/src/work/mod.rs
+++ b/crates/runner/src/work/mod.rs
@@ -16,6 +16,9 @@
 use crate::job::End;
 use crate::job::Job;
 
+pub use model::handle;
+pub use model::stream_of;
+
 /// Returns what an attempt holds on a model engine.
 pub fn item_of(attempt: Attempt) -> Item {
     Item::Stream(model::stream_of(attempt).into())
--- a/crates/runner/src/work/model.rs
+++ b/crates/runner/src/work/model.rs
@@ -123,7 +123,8 @@
     }
 }
 
-fn handle(wire: &link::Handle) -> engine::Handle {
+/// Returns the engine's form of a handle.
+pub fn handle(wire: &link::Handle) -> engine::Handle {
     engine::Handle { engine: wire.engine.clone(), handle: wire.handle.clone(), tokens: wire.tokens }
 }
 
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
+use kumquattiller_link::Identity;
+use kumquattiller_link::Link;
 use kumquattiller_standins::engine;
 use kumquattiller_support::caller::Caller;
 use kumquattiller_support::fleet::Fleet;
 use kumquattiller_support::fleet::MODEL;
 use kumquattiller_support::wait;
+use kumquattiller_wire::Body;
+use kumquattiller_wire::link;
 use test_case::test_case;
 
 use crate::support::fleet;
@@ -70,3 +74,55 @@
     })
     .await;
 }
+
+/// Sends a frame and returns the answer that `pick` chooses.
+async fn ask<T>(link: &mut Link, body: Body, pick: impl Fn(Body) -> Option<T>) -> T {
+    link.sender.send(body).await.expect("the link is open");
+    loop {
+        let body = link.receiver.next().await.expect("the link is open").expect("an answer");
+        if let Some(answer) = pick(body) {
+            return answer;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reserved_segment_comes_back_when_its_daemon_is_gone() {
+    let fleet = fleet().entries(1).engines(1).start().await;
+    let identity = Identity {
+        name: "entry-gone".to_owned(),
+        incarnation: 1,
+        zone: "pasig".to_owned(),
+        role: "entry".to_owned(),
+    };
+    let mut daemon = Link::connect(fleet.runners[0].link, &identity, 0).await.expect("a link");
+    let reserve = link::Reserve { reservation: 7, tokens: 5_000, ttl_ms: 60_000 };
+    let reserved = ask(&mut daemon, Body::Reserve(reserve), |body| match body {
+        Body::Reserved(reserved) => Some(reserved),
+        _ => None,
+    })
+    .await;
+    assert!(reserved.granted, "{reserved:?}");
+    let prefill = link::Prefill {
+        attempt: Some(link::AttemptId {
+            request: Some(link::RequestId { high: 1, low: 2 }),
+            number: 1,
+        }),
+        reservation: 7,
+        tokens: 4_000,
+        model: MODEL.to_owned(),
+        left_ms: 10_000,
+        ..link::Prefill::default()
+    };
+    let prefilled = ask(&mut daemon, Body::Prefill(prefill), |body| match body {
+        Body::Prefilled(prefilled) => Some(prefilled),
+        _ => None,
+    })
+    .await;
+    assert_eq!(prefilled.kind, "");
+    assert_eq!(prefilled.handle.map(|handle| handle.tokens), Some(4_000));
+    assert_eq!(fleet.engine(0).kv_held(), 4_000);
+    drop(daemon);
+    wait::until("release of the segment", MEMORY_BOUND, async || fleet.engine(0).kv_held() == 0)
+        .await;
+}
