--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -33,6 +33,8 @@
 use crate::limits;
 use crate::limits::Limits;
 use crate::link;
+use crate::orders;
+use crate::orders::Orders;
 use crate::peers;
 use crate::runners::Pool;
 use crate::snapshot::Snapshot;
@@ -57,6 +59,7 @@
     platform: platform::Client,
     snapshots: watch::Sender<Arc<Snapshot>>,
     runners: Pool,
+    orders: Orders,
     spread: Spread,
     peers: peers::Table,
     members: peers::Members,
@@ -95,6 +98,7 @@
             claims_inbox: Mutex::new(Some(claims_inbox)),
             snapshots: watch::Sender::new(Arc::new(Snapshot::default())),
             runners: Pool::default(),
+            orders: Orders::default(),
             spread: Spread::default(),
             peers: peers::Table::default(),
             members,
@@ -124,6 +128,7 @@
         tokio::spawn(source::run(self.clone()));
         tokio::spawn(peers::run(self.clone()));
         tokio::spawn(limits::run(self.clone()));
+        tokio::spawn(orders::run(self.clone()));
         self.serve_claims();
         tokio::spawn(suspects::run(self.clone()));
         shutdown.await;
@@ -131,6 +136,11 @@
         Ok(())
     }
 
+    /// Returns what runner processes said of their engines.
+    pub fn orders(&self) -> &Orders {
+        &self.inner.orders
+    }
+
     /// Fails readiness from now on.
     pub fn leave(&self) {
         if !self.inner.leaving.swap(true, Ordering::SeqCst) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod limits;
 pub mod link;
+pub mod orders;
 pub mod peers;
 pub mod request;
 pub mod runners;
--- a/crates/routing/src/admission/action.rs
+++ b/crates/routing/src/admission/action.rs
@@ -12,6 +12,13 @@
     pub retry_after: Duration,
 }
 
+impl From<Kind> for Refusal {
+    /// Makes a refusal with the kind's usual time to try again.
+    fn from(kind: Kind) -> Self {
+        Self { kind, retry_after: kind.answer().retry_after.unwrap_or_default() }
+    }
+}
+
 /// The answer to a request that wants in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http;
 pub mod job;
 pub mod link;
+pub mod orders;
 pub mod process;
 pub mod reconcile;
 pub mod settings;
--- a/crates/runner/src/link/held.rs
+++ b/crates/runner/src/link/held.rs
@@ -1,12 +1,14 @@
 use std::collections::HashMap;
 
 use bytes::Bytes;
+use kumquattiller_base::error;
 use kumquattiller_routing::admission::Refusal;
 use kumquattiller_wire::Attempt;
 use kumquattiller_wire::link;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::gate::Place;
 
@@ -21,6 +23,8 @@
     pub body: Bytes,
     /// Its place at the gate.
     pub place: Place,
+    /// Lets a graceful stop wait for the answer to the start.
+    pub tracked: TaskTrackerToken,
 }
 
 /// The attempts of one link that wait at the gate; all are given up when it is dropped.
@@ -39,14 +43,16 @@
 }
 
 impl Held {
-    /// Waits for the gate's decision about an attempt beside the link.
-    pub fn add(&mut self, mut complete: Complete) {
+    /// Waits for the gate's decision about an attempt beside the link; it is refused when
+    /// `leaving` comes first.
+    pub fn add(&mut self, mut complete: Complete, leaving: CancellationToken) {
         let cancelled = CancellationToken::new();
         self.guards.insert(complete.attempt, cancelled.clone().drop_guard());
         let sender = self.sender.clone();
         tokio::spawn(async move {
             let decision = tokio::select! {
                 decision = complete.place.wait() => decision,
+                () = leaving.cancelled() => Err(error::Kind::Leaving.into()),
                 () = cancelled.cancelled() => return,
             };
             let _ = sender.send((complete, decision));
--- a/crates/runner/src/link/mod.rs
+++ b/crates/runner/src/link/mod.rs
@@ -4,7 +4,9 @@
 mod held;
 mod incoming;
 mod listener;
+mod segments;
 mod session;
+mod starts;
 mod subscription;
 mod subscriptions;
 
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -1,7 +1,6 @@
 //! The shared state of a runner process, and its start and stop.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -23,6 +22,7 @@
 use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::Settings;
 use crate::admission::Account;
@@ -30,6 +30,8 @@
 use crate::http;
 use crate::job;
 use crate::link;
+use crate::orders;
+use crate::orders::Orders;
 use crate::reconcile;
 use crate::suspects::Suspects;
 
@@ -52,10 +54,11 @@
     memory: Account,
     gate: Gate,
     jobs: job::Table,
+    orders: Orders,
     suspects: Suspects,
     recorder: Recorder,
     work: TaskTracker,
-    leaving: AtomicBool,
+    leaving: CancellationToken,
     stopped: CancellationToken,
     spread: Spread,
     configuration: watch::Sender<Option<Arc<Configuration>>>,
@@ -83,10 +86,11 @@
             identity,
             clock,
             jobs: job::Table::default(),
+            orders: Orders::default(),
             suspects,
             recorder: Recorder::default(),
             work: TaskTracker::new(),
-            leaving: AtomicBool::new(false),
+            leaving: CancellationToken::new(),
             stopped: CancellationToken::new(),
             spread: Spread::default(),
             configuration: watch::Sender::new(None),
@@ -110,6 +114,7 @@
         tokio::spawn(link::run(self.clone(), listener));
         tokio::spawn(self.clone().sweep());
         tokio::spawn(reconcile::run(self.clone()));
+        tokio::spawn(orders::run(self.clone()));
         shutdown.await;
         self.leave();
         self.finish().await;
@@ -119,7 +124,8 @@
 
     /// Refuses new work from now on.
     pub fn leave(&self) {
-        if !self.inner.leaving.swap(true, Ordering::SeqCst) {
+        if !self.is_leaving() {
+            self.inner.leaving.cancel();
             log::info!(runner:% = self.settings().id; "runner takes no new work");
         }
     }
@@ -183,6 +189,11 @@
         &self.inner.gate
     }
 
+    /// Returns the orders to the engine.
+    pub fn orders(&self) -> &Orders {
+        &self.inner.orders
+    }
+
     /// Returns the jobs.
     pub fn jobs(&self) -> &job::Table {
         &self.inner.jobs
@@ -198,9 +209,19 @@
         &self.inner.recorder
     }
 
+    /// Returns the token that is cancelled once new work is refused.
+    pub fn leaving(&self) -> &CancellationToken {
+        &self.inner.leaving
+    }
+
+    /// Returns a token that a graceful stop waits for until it is dropped.
+    pub fn track(&self) -> TaskTrackerToken {
+        self.inner.work.token()
+    }
+
     /// Tells whether new work is refused.
     pub fn is_leaving(&self) -> bool {
-        self.inner.leaving.load(Ordering::SeqCst)
+        self.inner.leaving.is_cancelled()
     }
 
     /// Returns the token that is cancelled once the process has finished its work.
--- a/crates/runner/src/work/mod.rs
+++ b/crates/runner/src/work/mod.rs
@@ -17,6 +17,9 @@
 use crate::job::End;
 use crate::job::Job;
 
+pub use model::handle;
+pub use model::stream_of;
+
 /// Returns what an attempt holds on a model engine.
 pub fn item_of(attempt: Attempt) -> Item {
     Item::Stream(model::stream_of(attempt).into())
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod files;
 mod membership;
 mod memory;
+mod orders;
 mod path;
 mod routing;
 mod sessions;
