tests, xtask: ports are handed out in turn

Ruled out: a fault of the product, since the log shows a daemon that met another process's HTTP port at its neighbour's link address; connections as takers of the port, since their source is 127.0.0.1 and fleets have addresses of their own. Conclusion: each process counts ports up from 10,000 on its own loopback address.

--- a/crates/support/src/address.rs
+++ b/crates/support/src/address.rs
@@ -2,13 +2,16 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
 /// Fleets started by this process so far.
 static FLEETS: AtomicU32 = AtomicU32::new(0);
 
+/// The next port to hand out; below those that the system chooses for connections.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
+
 /// Returns a loopback address for a new fleet, different for each fleet and test process.
 pub fn draw() -> Ipv4Addr {
     let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
@@ -16,12 +19,7 @@
     Ipv4Addr::new(127, (1 + process % 250) as u8, (process / 250 % 250) as u8, 1 + fleet as u8)
 }
 
-/// Returns an address with a port that is free now.
-///
-/// # Panics
-///
-/// Panics when no port is free.
+/// Returns an address with a port that this process has not handed out before.
 pub fn free_port(ip: Ipv4Addr) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("a port is free");
-    listener.local_addr().expect("a bound listener has an address")
+    SocketAddr::from((ip, NEXT_PORT.fetch_add(1, Ordering::Relaxed)))
 }
--- a/xtask/src/fleet/ready.rs
+++ b/xtask/src/fleet/ready.rs
@@ -1,5 +1,7 @@
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -7,18 +9,19 @@
 
 use crate::Failure;
 
+/// The next port to hand out; below those that the system chooses for connections.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
+
 /// Longest wait for a process to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Pause between tries.
 const TRY_PAUSE: Duration = Duration::from_millis(20);
 
-/// Returns an address of this machine that nobody listens on.
-///
-/// # Errors
-///
-/// Fails when there is none.
-pub fn free_address() -> Result<SocketAddr, Failure> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+/// Returns a loopback address that this process has not handed out before.
+pub fn free_address() -> SocketAddr {
+    let process = std::process::id();
+    let ip = Ipv4Addr::new(127, (1 + process % 250) as u8, (process / 250 % 250) as u8, 1);
+    SocketAddr::from((ip, NEXT_PORT.fetch_add(1, Ordering::Relaxed)))
 }
 
 /// Waits until `GET url` answers with success.
--- a/xtask/src/fleet/run.rs
+++ b/xtask/src/fleet/run.rs
@@ -116,7 +116,7 @@
         place: (&str, &str),
         platform: &str,
     ) -> Result<Member, Failure> {
-        let (http, link) = (free_address()?, free_address()?);
+        let (http, link) = (free_address(), free_address());
         let settings = json!({
             "id": id, "region": place.0, "zone": place.1, "http_address": http,
             "link_address": link, "platform_url": platform
@@ -141,7 +141,7 @@
         backend: &Value,
         platform: &str,
     ) -> Result<Member, Failure> {
-        let (http, link) = (free_address()?, free_address()?);
+        let (http, link) = (free_address(), free_address());
         let settings = json!({
             "id": id, "zone": zone, "link_address": link, "http_address": http,
             "backend": backend, "platform_url": platform
