--- a/crates/runner/src/link/mod.rs
+++ b/crates/runner/src/link/mod.rs
@@ -1,6 +1,7 @@
 //! Links from entry daemons.
 
 mod frames;
+mod held;
 mod incoming;
 mod listener;
 mod segments;
--- a/crates/runner/src/link/segments.rs
+++ b/crates/runner/src/link/segments.rs
@@ -1,5 +1,6 @@
 //! Reservations, and segments of prompts that are larger than an engine.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -13,6 +14,7 @@
 use kumquattiller_memory::Owner;
 use kumquattiller_memory::Refusal;
 use kumquattiller_memory::reservation;
+use kumquattiller_wire as wire;
 use kumquattiller_wire::Attempt;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::link;
@@ -21,21 +23,73 @@
 use crate::Process;
 use crate::work;
 
+/// The prefills of one link whose bodies are not complete.
+#[derive(Debug)]
+pub struct Segments {
+    process: Process,
+    sender: Sender,
+    incoming: HashMap<Attempt, Segment>,
+}
+
+impl Segments {
+    /// Begins without any.
+    pub fn new(process: Process, sender: Sender) -> Self {
+        Self { process, sender, incoming: HashMap::new() }
+    }
+
+    /// Tells whether a prefill of the attempt waits for its body.
+    pub fn has(&self, attempt: Attempt) -> bool {
+        self.incoming.contains_key(&attempt)
+    }
+
+    /// Waits for the body of a prefill.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the frame names no attempt.
+    pub fn open(&mut self, prefill: link::Prefill) -> Result<(), wire::Error> {
+        let attempt = Attempt::from_field(prefill.attempt)?;
+        self.incoming.insert(attempt, Segment { prefill, body: BytesMut::new() });
+        self.run_if_complete(attempt);
+        Ok(())
+    }
+
+    /// Appends a part of a body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not fit; the prefill is then given up.
+    pub fn append(&mut self, attempt: Attempt, part: &link::Body) -> Result<(), wire::Error> {
+        let fits = self.incoming.get_mut(&attempt).is_some_and(|segment| segment.append(part));
+        if !fits {
+            self.incoming.remove(&attempt);
+            return Err(wire::Error::Invalid("offset"));
+        }
+        self.run_if_complete(attempt);
+        Ok(())
+    }
+
+    /// Computes a segment whose body is complete.
+    fn run_if_complete(&mut self, attempt: Attempt) {
+        if !self.incoming.get(&attempt).is_some_and(Segment::is_complete) {
+            return;
+        }
+        if let Some(segment) = self.incoming.remove(&attempt) {
+            self.process.spawn(run(self.process.clone(), self.sender.clone(), segment));
+        }
+    }
+}
+
 /// A prefill whose body is not complete.
 #[derive(Debug)]
-pub struct Segment {
+struct Segment {
     prefill: link::Prefill,
     body: BytesMut,
 }
 
 impl Segment {
-    /// Waits for the body of a prefill.
-    pub fn new(prefill: link::Prefill) -> Self {
-        Self { prefill, body: BytesMut::new() }
-    }
-
     /// Appends a part of the body; returns false when it does not fit.
-    pub fn append(&mut self, part: &link::Body) -> bool {
+    fn append(&mut self, part: &link::Body) -> bool {
         let end = part.offset.saturating_add(part.data.len() as u64);
         let fits = part.offset == self.body.len() as u64 && end <= self.prefill.body_bytes;
         if fits {
@@ -45,7 +99,7 @@
     }
 
     /// Tells whether the body is complete.
-    pub fn is_complete(&self) -> bool {
+    fn is_complete(&self) -> bool {
         self.body.len() as u64 == self.prefill.body_bytes
     }
 }
@@ -78,7 +132,7 @@
 }
 
 /// Computes a segment, exports its KV and answers.
-pub async fn run(process: Process, sender: Sender, segment: Segment) {
+async fn run(process: Process, sender: Sender, segment: Segment) {
     let number = segment.prefill.segment;
     let attempt = segment.prefill.attempt;
     let computed = match Attempt::from_field(attempt) {
--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use kumquattiller_base::account;
 use kumquattiller_base::error;
 use kumquattiller_base::request;
 use kumquattiller_base::service;
@@ -13,6 +13,8 @@
 use kumquattiller_memory::Daemon;
 use kumquattiller_memory::Owner;
 use kumquattiller_memory::reservation;
+use kumquattiller_routing::admission::Item;
+use kumquattiller_routing::admission::Refusal;
 use kumquattiller_wire::Attempt;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::Error;
@@ -20,11 +22,14 @@
 
 use crate::Process;
 use crate::admission::Promise;
+use crate::gate::Place;
 use crate::job::Job;
 use crate::link::frames;
+use crate::link::held::Complete;
+use crate::link::held::Held;
 use crate::link::incoming::Incoming;
 use crate::link::segments;
-use crate::link::segments::Segment;
+use crate::link::segments::Segments;
 use crate::link::subscriptions::Subscriptions;
 use crate::work;
 
@@ -42,7 +47,8 @@
     /// The peer as an owner of engine memory.
     owner: Option<Daemon>,
     incoming: HashMap<Attempt, Incoming>,
-    segments: HashMap<Attempt, Segment>,
+    segments: Segments,
+    held: Held,
     subscriptions: Subscriptions,
 }
 
@@ -53,15 +59,9 @@
         let id = peer.name.parse().ok();
         let incarnation = peer.incarnation.into();
         let owner = id.map(|id| Daemon { id, incarnation });
-        Self {
-            process,
-            sender,
-            peer,
-            owner,
-            incoming: HashMap::new(),
-            segments: HashMap::new(),
-            subscriptions,
-        }
+        let segments = Segments::new(process.clone(), sender.clone());
+        let (incoming, held) = (HashMap::new(), Held::default());
+        Self { process, sender, peer, owner, incoming, segments, held, subscriptions }
     }
 
     /// Serves frames until the link closes.
@@ -77,7 +77,16 @@
 
     async fn receive(&mut self, mut receiver: Receiver) {
         loop {
-            let body = match receiver.next().await {
+            let received = tokio::select! {
+                received = receiver.next() => received,
+                (complete, decision) = self.held.next() => {
+                    if let Err(error) = self.decided(complete, decision).await {
+                        log::debug!(peer = self.peer.name.as_str(); "not answered: {error}");
+                    }
+                    continue;
+                }
+            };
+            let body = match received {
                 Ok(Some(body)) => body,
                 Ok(None) => return,
                 Err(error) => {
@@ -115,7 +124,7 @@
                 segments::release(&self.process, &frame);
                 Ok(())
             }
-            Body::Prefill(prefill) => self.prefill(prefill),
+            Body::Prefill(prefill) => self.segments.open(prefill),
             Body::Order(order) => {
                 let result = self.process.orders().take(&order);
                 self.send(Body::OrderResult(result)).await
@@ -133,32 +142,51 @@
             return Ok(());
         }
         match self.admit(&start) {
-            Ok(promise) => {
-                self.incoming.insert(attempt, Incoming::new(start, promise));
+            Ok(place) => {
+                self.incoming.insert(attempt, Incoming::new(start, place));
                 self.run_if_complete(attempt).await
             }
-            Err(kind) => {
-                let decision = format!("the runner refused attempt {}: {kind}", attempt.number);
-                let recorder = self.process.recorder();
-                recorder.metrics().refusal(kind);
-                recorder.note(self.process.now(), attempt.request, &decision);
-                let load = self.process.load();
-                self.send(frames::refused(attempt, kind, None, load)).await
-            }
+            Err(refusal) => self.refuse(attempt, refusal).await,
         }
     }
 
-    /// Promises memory for a start, or tells why it is refused.
-    fn admit(&self, start: &link::Start) -> Result<Promise, error::Kind> {
+    /// Refuses an attempt of which nothing was started.
+    async fn refuse(&self, attempt: Attempt, refusal: Refusal) -> Result<(), Error> {
+        let Refusal { kind, retry_after } = refusal;
+        let decision = format!("the runner refused attempt {}: {kind}", attempt.number);
+        let recorder = self.process.recorder();
+        recorder.metrics().refusal(kind);
+        recorder.note(self.process.now(), attempt.request, &decision);
+        let load = self.process.load();
+        self.send(frames::refused(attempt, kind, Some(retry_after), load)).await
+    }
+
+    /// Gives a start its place at the gate, or tells why it is refused.
+    fn admit(&self, start: &link::Start) -> Result<Place, Refusal> {
         if self.process.is_leaving() {
-            return Err(error::Kind::Leaving);
+            return Err(refusal(error::Kind::Leaving));
         }
         if start.left_ms == 0 {
-            return Err(error::Kind::DeadlineExpired);
+            return Err(refusal(error::Kind::DeadlineExpired));
         }
         if start.incarnation != 0 && start.incarnation != self.process.identity().incarnation {
-            return Err(error::Kind::NoRunner);
+            return Err(refusal(error::Kind::NoRunner));
         }
+        if self.process.settings().backend.kind == service::Kind::Plain {
+            return Ok(Place::free());
+        }
+        self.process.gate().enter(Item {
+            request: request::Id::from_u128(0),
+            prompt: Tokens::new(start.prompt_tokens),
+            answer: Tokens::new(start.max_tokens),
+            rank: account::Rank::new(start.rank.min(u32::from(u8::MAX)) as u8),
+            deadline: self.process.now() + Duration::from_millis(start.left_ms),
+            is_reservation: false,
+        })
+    }
+
+    /// Promises memory for a start that may begin.
+    fn promise(&self, start: &link::Start) -> Result<Promise, error::Kind> {
         let tokens = Tokens::new(start.prompt_tokens.saturating_add(start.max_tokens));
         if self.process.settings().backend.kind == service::Kind::Plain {
             return Ok(Promise::empty());
@@ -174,35 +202,11 @@
         promise.map_err(|_| error::Kind::MemoryFull)
     }
 
-    /// Waits for the body of a segment.
-    fn prefill(&mut self, prefill: link::Prefill) -> Result<(), Error> {
-        let attempt = Attempt::from_field(prefill.attempt)?;
-        self.segments.insert(attempt, Segment::new(prefill));
-        self.compute_if_complete(attempt);
-        Ok(())
-    }
-
-    /// Computes a segment whose body is complete.
-    fn compute_if_complete(&mut self, attempt: Attempt) {
-        if !self.segments.get(&attempt).is_some_and(Segment::is_complete) {
-            return;
-        }
-        if let Some(segment) = self.segments.remove(&attempt) {
-            let task = segments::run(self.process.clone(), self.sender.clone(), segment);
-            self.process.spawn(task);
-        }
-    }
-
     /// Appends a part of a body.
     async fn body_part(&mut self, part: &link::Body) -> Result<(), Error> {
         let attempt = Attempt::from_field(part.attempt)?;
-        if let Some(segment) = self.segments.get_mut(&attempt) {
-            if !segment.append(part) {
-                self.segments.remove(&attempt);
-                return Err(Error::Invalid("offset"));
-            }
-            self.compute_if_complete(attempt);
-            return Ok(());
+        if self.segments.has(attempt) {
+            return self.segments.append(attempt, part);
         }
         let Some(incoming) = self.incoming.get_mut(&attempt) else {
             return Ok(());
@@ -224,18 +228,37 @@
         let Some(incoming) = self.incoming.remove(&attempt) else {
             return Ok(());
         };
-        let (start, body, promise) = incoming.into_parts();
-        self.accept(attempt, start, body, promise).await
+        let (start, body, place) = incoming.into_parts();
+        let complete = Complete { attempt, start, body, place };
+        if complete.place.is_ready() {
+            return self.accept(complete).await;
+        }
+        let note = "the runner holds the attempt until there is room";
+        self.process.recorder().note(self.process.now(), attempt.request, note);
+        self.held.add(complete);
+        Ok(())
     }
 
-    /// Creates the job, tells the entry daemon and starts the work.
-    async fn accept(
+    /// Goes on with an attempt that was held.
+    async fn decided(
         &mut self,
-        attempt: Attempt,
-        start: link::Start,
-        body: Bytes,
-        promise: Promise,
+        complete: Complete,
+        decision: Result<(), Refusal>,
     ) -> Result<(), Error> {
+        match decision {
+            Ok(()) => self.accept(complete).await,
+            Err(refusal) => self.refuse(complete.attempt, refusal).await,
+        }
+    }
+
+    /// Creates the job, tells the entry daemon and starts the work.
+    async fn accept(&mut self, complete: Complete) -> Result<(), Error> {
+        let Complete { attempt, mut start, body, place } = complete;
+        start.priority = place.priority();
+        let promise = match self.promise(&start) {
+            Ok(promise) => promise,
+            Err(kind) => return self.refuse(attempt, refusal(kind)).await,
+        };
         if !self.process.suspects().enter(attempt, &start) {
             let load = self.process.load();
             let kind = error::Kind::Overloaded;
@@ -250,7 +273,7 @@
         self.send(Body::Accepted(accepted)).await?;
         self.subscribe(Arc::clone(&job), 0);
         if added {
-            self.process.spawn(work::run(self.process.clone(), job, body, promise));
+            self.process.spawn(work::run(self.process.clone(), job, body, promise, place));
         }
         Ok(())
     }
@@ -259,6 +282,7 @@
     fn cancel(&mut self, cancel: link::Cancel) -> Result<(), Error> {
         let attempt = Attempt::from_field(cancel.attempt)?;
         self.incoming.remove(&attempt);
+        self.held.remove(attempt);
         self.subscriptions.end(attempt);
         if let Some(job) = self.process.jobs().get(attempt).filter(|_| !cancel.detach) {
             job.cancel().cancel();
@@ -340,3 +364,8 @@
         self.sender.send(body).await.map_err(|_| Error::Io(std::io::ErrorKind::BrokenPipe.into()))
     }
 }
+
+/// Makes a refusal with the usual time to try again.
+fn refusal(kind: error::Kind) -> Refusal {
+    Refusal { kind, retry_after: kind.answer().retry_after.unwrap_or_default() }
+}
--- a/crates/runner/src/work/mod.rs
+++ b/crates/runner/src/work/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::Process;
 use crate::admission::Promise;
+use crate::gate::Place;
 use crate::job::End;
 use crate::job::Job;
 
@@ -27,14 +28,21 @@
 /// Runs a job to its end and records the end.
 ///
 /// The promise of memory is given back only after the backend server has let go of the stream.
-pub async fn run(process: Process, job: Arc<Job>, body: Bytes, promise: Promise) {
+pub async fn run(process: Process, job: Arc<Job>, body: Bytes, promise: Promise, place: Place) {
     let id = job.attempt().request;
     let context = traces::Context::of(Some(&job.start().trace_parent));
-    let span = context.span("backend", id);
+    let span = context.span("runner.backend", id);
     process.recorder().metrics().admitted();
-    let (end, freed) = match process.settings().backend.kind {
-        service::Kind::Model => model::run(&process, &job, &body).await,
-        service::Kind::Plain => (plain::run(&process, &job, body).await, true),
+    let (end, freed) = {
+        let work = call(&process, &job, body);
+        tokio::pin!(work);
+        tokio::select! {
+            ended = &mut work => ended,
+            () = first_token(&job) => {
+                place.prefilled();
+                work.await
+            }
+        }
     };
     if let End::Failed { kind, detail, .. } = &end {
         log::warn!(request:% = job.attempt().request, kind:%; "job failed: {detail}");
@@ -45,12 +53,31 @@
     } else {
         drop(promise);
     }
+    drop(place);
     let engine_died = matches!(end, End::Failed { backend_died: true, .. });
     process.suspects().leave(job.attempt(), engine_died).await;
     record(&process, &job, &end);
     job.finish(end, process.now());
 }
 
+/// Calls the backend server; returns the end and whether it let go of what the job held.
+async fn call(process: &Process, job: &Job, body: Bytes) -> (End, bool) {
+    match process.settings().backend.kind {
+        service::Kind::Model => model::run(process, job, &body).await,
+        service::Kind::Plain => (plain::run(process, job, body).await, true),
+    }
+}
+
+/// Waits for the first piece of the answer.
+async fn first_token(job: &Job) {
+    let mut changes = job.changes();
+    while job.next() == 0 {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Counts the end of a job and notes it for `kumquattiller explain`.
 fn record(process: &Process, job: &Job, end: &End) {
     let recorder = process.recorder();
