--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -18,7 +18,7 @@
 use crate::link::held::Held;
 use crate::link::incoming::Incoming;
 use crate::link::segments;
-use crate::link::segments::Segment;
+use crate::link::segments::Segments;
 use crate::link::subscriptions::Subscriptions;
 use crate::work;
 
@@ -35,7 +35,7 @@
     pub(super) owner: Option<Daemon>,
     pub(super) incoming: HashMap<Attempt, Incoming>,
     pub(super) held: Held,
-    pub(super) segments: HashMap<Attempt, Segment>,
+    pub(super) segments: Segments,
     pub(super) subscriptions: Subscriptions,
 }
 
@@ -46,6 +46,7 @@
         let id = peer.name.parse().ok();
         let incarnation = peer.incarnation.into();
         let owner = id.map(|id| Daemon { id, incarnation });
+        let segments = Segments::new(process.clone(), sender.clone());
         Self {
             process,
             sender,
@@ -53,7 +54,7 @@
             owner,
             incoming: HashMap::new(),
             held: Held::default(),
-            segments: HashMap::new(),
+            segments,
             subscriptions,
         }
     }
@@ -118,7 +119,7 @@
                 segments::release(&self.process, &frame);
                 Ok(())
             }
-            Body::Prefill(prefill) => self.prefill(prefill),
+            Body::Prefill(prefill) => self.segments.open(prefill),
             Body::Order(order) => {
                 let result = self.process.orders().take(&order);
                 self.send(Body::OrderResult(result)).await
--- a/crates/runner/src/link/starts.rs
+++ b/crates/runner/src/link/starts.rs
@@ -23,8 +23,6 @@
 use crate::link::frames;
 use crate::link::held::Complete;
 use crate::link::incoming::Incoming;
-use crate::link::segments;
-use crate::link::segments::Segment;
 use crate::link::session::Session;
 use crate::work;
 
@@ -99,35 +97,11 @@
         promise.map_err(|_| error::Kind::MemoryFull)
     }
 
-    /// Waits for the body of a segment.
-    pub(super) fn prefill(&mut self, prefill: link::Prefill) -> Result<(), Error> {
-        let attempt = Attempt::from_field(prefill.attempt)?;
-        self.segments.insert(attempt, Segment::new(prefill));
-        self.compute_if_complete(attempt);
-        Ok(())
-    }
-
-    /// Computes a segment whose body is complete.
-    fn compute_if_complete(&mut self, attempt: Attempt) {
-        if !self.segments.get(&attempt).is_some_and(Segment::is_complete) {
-            return;
-        }
-        if let Some(segment) = self.segments.remove(&attempt) {
-            let task = segments::run(self.process.clone(), self.sender.clone(), segment);
-            self.process.spawn(task);
-        }
-    }
-
     /// Appends a part of a body.
     pub(super) async fn body_part(&mut self, part: &link::Body) -> Result<(), Error> {
         let attempt = Attempt::from_field(part.attempt)?;
-        if let Some(segment) = self.segments.get_mut(&attempt) {
-            if !segment.append(part) {
-                self.segments.remove(&attempt);
-                return Err(Error::Invalid("offset"));
-            }
-            self.compute_if_complete(attempt);
-            return Ok(());
+        if self.segments.has(attempt) {
+            return self.segments.append(attempt, part);
         }
         let Some(incoming) = self.incoming.get_mut(&attempt) else {
             return Ok(());
