routing: a prompt that no engine fits is refused as too large, not as memory full

memory_full tells the caller to try again, which never helps a prompt larger than the engine. A prompt that fits only without the reserve for short ones may take it, as the daemons do not spread prompts over engines yet.

--- a/crates/routing/src/admission/gate.rs
+++ b/crates/routing/src/admission/gate.rs
@@ -81,8 +81,8 @@
         if self.leaving {
             return refuse(Kind::Leaving, LEAVING_RETRY_AFTER);
         }
-        if item.footprint() > self.room_for(item.band()) {
-            return refuse(Kind::MemoryFull, MAX_RETRY_AFTER);
+        if item.footprint() > self.limits.capacity {
+            return refuse(Kind::PromptTooLarge, MAX_RETRY_AFTER);
         }
         if self.admits(&item) && !self.is_reserved_for_others(&item, now) {
             return match self.slack(&item, now) {
@@ -217,7 +217,7 @@
         let ahead = self.waiting.iter().filter(is_ahead).map(|w| w.item);
         let wanted = ahead.clone().fold(item.footprint(), |s, w| s.saturating_add(w.footprint()));
         let prompts = ahead.fold(self.backlog, |s, w| s.saturating_add(w.prompt));
-        let free = self.room_for(item.band()).saturating_sub(self.held);
+        let free = self.room_for(item).saturating_sub(self.held);
         let ends = self.running.values().map(|r| (r.expected_end, r.item.footprint()));
         let memory = estimate::memory_wait(wanted.saturating_sub(free), now, ends)?;
         let prefill = match item.band() {
@@ -246,7 +246,7 @@
 
     /// Tells whether memory and the bound on long prefill let a request start.
     fn admits(&self, item: &Item) -> bool {
-        let fits = self.held.saturating_add(item.footprint()) <= self.room_for(item.band());
+        let fits = self.held.saturating_add(item.footprint()) <= self.room_for(item);
         fits && (item.band() == Band::UpTo8k || item.is_reservation || self.has_prefill_room(item))
     }
 
@@ -309,11 +309,14 @@
         self.learnt < MIN_LEARNT
     }
 
-    /// Returns the memory that a band may fill.
-    fn room_for(&self, band: Band) -> Tokens {
-        match band {
-            Band::UpTo8k => self.limits.capacity,
-            _ => self.limits.capacity.saturating_sub(self.limits.short_reserve),
+    /// Returns the memory that may be full once a request has started. Long ones leave the reserve
+    /// for short ones alone, unless they need it to fit at all.
+    fn room_for(&self, item: &Item) -> Tokens {
+        let without_reserve = self.limits.capacity.saturating_sub(self.limits.short_reserve);
+        if item.band() == Band::UpTo8k || item.footprint() > without_reserve {
+            self.limits.capacity
+        } else {
+            without_reserve
         }
     }
 
