--- a/crates/entry/src/drive/run.rs
+++ b/crates/entry/src/drive/run.rs
@@ -59,7 +59,7 @@
         let number = WireAttempt { request: attempt.request(), number: attempt.number() };
         let incarnation = call.incarnation();
         let origin = Origin { request: number.request, attempt: number.number, incarnation };
-        let span = self.request.trace.span("attempt", self.request.id);
+        let span = self.request.trace.span("entry.attempt", self.request.id);
         let trace = self.request.trace.within(&span);
         self.note(&format!("attempt {} on runner {}", number.number, call.runner()));
         let sent = attempt.send();
--- a/crates/runner/src/work/mod.rs
+++ b/crates/runner/src/work/mod.rs
@@ -28,7 +28,7 @@
 pub async fn run(process: Process, job: Arc<Job>, body: Bytes, promise: Promise, place: Place) {
     let id = job.attempt().request;
     let context = traces::Context::of(Some(&job.start().trace_parent));
-    let span = context.span("backend", id);
+    let span = context.span("runner.backend", id);
     process.recorder().metrics().admitted();
     let (end, freed) = {
         let work = call(&process, &job, body);
