--- a/crates/entry/src/runners/mod.rs
+++ b/crates/entry/src/runners/mod.rs
@@ -5,9 +5,11 @@
 mod pool;
 mod remote;
 mod reply;
+mod routes;
 
 pub use call::Call;
 pub use call::REJOIN_LIMIT;
 pub use pool::Pool;
 pub use remote::Remote;
 pub use reply::Reply;
+pub use routes::Routes;
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
 use kumquattiller_clients::Transport;
 use kumquattiller_clients::configuration::Spread;
@@ -27,6 +26,7 @@
 
 use crate::Settings;
 use crate::admission::Account;
+use crate::gate::Gate;
 use crate::http;
 use crate::job;
 use crate::link;
@@ -50,6 +50,7 @@
     engine: engine::Client,
     service: service::Client,
     memory: Account,
+    gate: Gate,
     jobs: job::Table,
     suspects: Suspects,
     recorder: Recorder,
@@ -77,6 +78,7 @@
             engine: engine::Client::new(transport.clone(), &settings.backend.url),
             service: service::Client::new(transport, &settings.backend.url),
             memory: Account::new(settings.backend.memory, clock),
+            gate: Gate::new(settings.backend.memory, clock),
             settings,
             identity,
             clock,
@@ -136,6 +138,7 @@
         while !self.inner.stopped.is_cancelled() {
             ticks.tick().await;
             self.inner.jobs.sweep(self.now());
+            self.inner.gate.advance();
             self.finish_task(self.inner.spread.tick(self.now()));
         }
     }
@@ -175,6 +178,11 @@
         &self.inner.memory
     }
 
+    /// Returns the gate before the engine.
+    pub fn gate(&self) -> &Gate {
+        &self.inner.gate
+    }
+
     /// Returns the jobs.
     pub fn jobs(&self) -> &job::Table {
         &self.inner.jobs
@@ -237,12 +245,14 @@
 
     /// Reports the load of the backend server.
     pub fn load(&self) -> Load {
+        let load = self.inner.gate.load();
         Load {
             running: self.inner.jobs.running() as u32,
-            waiting: 0,
-            held: self.inner.memory.promised(),
+            waiting: load.waiting,
+            held: load.held.max(self.inner.memory.promised()),
             capacity: self.inner.memory.capacity(),
-            backlog: Tokens::ZERO,
+            backlog: load.backlog,
+            long_backlog: load.long_backlog,
             leaving: self.is_leaving(),
             sequence: self.inner.load_sequence.fetch_add(1, Ordering::Relaxed),
             ..Load::default()
