drain: a stream longer than the HTTP server's wait

Cause: with the entry daemon's wait for its requests turned off, every test of drain still passed, as the HTTP server waits 10 s besides. Figures: a stream of 700 tokens (14 s) passes, and fails with the wait off. Conclusion: the wait carries a test.

--- a/tests/testsuite/drain.rs
+++ b/tests/testsuite/drain.rs
@@ -9,6 +9,7 @@
 use kumquattiller_support::fleet::Fleet;
 use kumquattiller_support::fleet::MODEL;
 use kumquattiller_support::wait;
+use test_case::test_case;
 use tokio::process::Command;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -134,10 +135,12 @@
     assert!(!is_leaving(&fleet, 0).await);
 }
 
+#[test_case(150; "within the time that the HTTP server waits")]
+#[test_case(700; "beyond the time that the HTTP server waits")]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_stopping_entry_daemon_finishes_its_streams() {
+async fn a_stopping_entry_daemon_finishes_its_streams(tokens: u64) {
     let mut fleet = fleet().start().await;
-    let body = Caller::completion(MODEL, "gas at the corner", 150, true);
+    let body = Caller::completion(MODEL, "gas at the corner", tokens, true);
     let mut stream = fleet.caller(0).stream(&body).await.expect("answer is streamed");
     assert!(matches!(stream.next().await, Piece::Text(_)));
     fleet.entries[0].program.terminate();
