xtask: load starts a fleet of its own; overhead on engines of its own

Direct calls go to engines without a runner process now. The fleets of load and slopes stand in one availability zone, for a prompt over one engine found no set of engines when each runner had a zone of its own.

--- a/xtask/src/load/mod.rs
+++ b/xtask/src/load/mod.rs
@@ -14,31 +14,56 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
 
+use crate::Failure;
 use crate::Outcome;
 use crate::caller::Answer;
 use crate::caller::Caller;
 use crate::caller::prompt;
+use crate::fleet::Member;
+use crate::fleet::build;
+use crate::slopes::rig::Rig;
+use crate::slopes::rig::Size;
 
 pub use mix::Mix;
 pub use mix::Shape;
 pub use options::Options;
 pub use tally::Tally;
 
+/// Engines and the runner processes beside them, when a fleet is started for the run.
+const RUNNERS: usize = 6;
+
 /// Runs the chore.
 ///
 /// # Errors
 ///
 /// Fails on wrong options.
 pub fn exec(args: pico_args::Arguments) -> Outcome {
-    let options = Options::read(args)?;
+    let mut options = Options::read(args)?;
     let runtime = tokio::runtime::Runtime::new()?;
-    let tally = runtime.block_on(send(&options));
+    let tally = runtime.block_on(async {
+        let rig = start_if_needed(&mut options).await?;
+        let tally = send(&options).await;
+        drop(rig);
+        Ok::<Tally, Failure>(tally)
+    })?;
     for line in tally.lines(&options) {
         println!("{line}");
     }
     Ok(())
 }
 
+/// Starts a fleet when no entry daemon is named.
+async fn start_if_needed(options: &mut Options) -> Result<Option<Rig>, Failure> {
+    if !options.urls.is_empty() {
+        return Ok(None);
+    }
+    let programs = build(true)?;
+    let size = Size { entries: 2, runners: RUNNERS, engines: RUNNERS, accounts: 10 };
+    let rig = Rig::start(&programs, size, &[]).await?;
+    options.urls = rig.entries.iter().map(Member::url).collect();
+    Ok(Some(rig))
+}
+
 /// Sends requests at the rate, with exponential times between them, and waits for all answers.
 pub async fn send(options: &Options) -> Tally {
     let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
--- a/xtask/src/load/options.rs
+++ b/xtask/src/load/options.rs
@@ -3,12 +3,15 @@
 use pico_args::Arguments;
 
 use crate::load::Mix;
+use crate::slopes::rig::CREDENTIAL;
+use crate::slopes::rig::MODEL;
 
 /// Text of `cargo xtask load --help`.
 const HELP: &str = "\
-usage: cargo xtask load --url URL [--url URL]... --credential TEXT --model NAME [options]
+usage: cargo xtask load [--url URL]... [options]
 
-  --url URL          base URL of an entry daemon; requests go to each in turn
+  --url URL          base URL of an entry daemon, repeatable; requests go to each in turn; without
+                     any, two entry daemons before six stand-in engines are started for the run
   --credential TEXT  credential of the client account
   --model NAME       model to ask for
   --rate N           requests a second, 10 unless set
@@ -53,8 +56,10 @@
         }
         let options = Self {
             urls: args.values_from_str("--url")?,
-            credential: args.value_from_str("--credential")?,
-            model: args.value_from_str("--model")?,
+            credential: args
+                .opt_value_from_str("--credential")?
+                .unwrap_or_else(|| CREDENTIAL.to_owned()),
+            model: args.opt_value_from_str("--model")?.unwrap_or_else(|| MODEL.to_owned()),
             rate: args.opt_value_from_str("--rate")?.unwrap_or(10.0),
             duration: seconds(&mut args, "--duration", 10.0)?,
             mix: args.opt_value_from_str("--mix")?.unwrap_or(Mix::Bayanihan),
@@ -65,8 +70,8 @@
         if !left.is_empty() {
             return Err(format!("unexpected arguments: {left:?}\n\n{HELP}").into());
         }
-        if options.urls.is_empty() || options.rate.is_nan() || options.rate <= 0.0 {
-            return Err("--url is needed, and --rate is above 0".into());
+        if options.rate.is_nan() || options.rate <= 0.0 {
+            return Err("--rate must be above 0".into());
         }
         Ok(options)
     }
--- a/xtask/src/overhead.rs
+++ b/xtask/src/overhead.rs
@@ -29,7 +29,8 @@
 const DURATION: Duration = Duration::from_secs(30);
 /// Deadline of the requests.
 const DEADLINE: Duration = Duration::from_secs(30);
-/// Engines and the runner processes beside them.
+/// Engines with runner processes beside them. As many more are called directly: a runner process
+/// cancels streams on its engine that are not its own.
 const RUNNERS: usize = 6;
 /// Factor by which the engines run faster than their time model.
 const ENGINE_SPEED: u32 = 10;
@@ -62,7 +63,7 @@
     }
     let programs = build(true)?;
     tokio::runtime::Runtime::new()?.block_on(async {
-        let size = Size { entries: 1, runners: RUNNERS, engines: RUNNERS, accounts: 10 };
+        let size = Size { entries: 1, runners: RUNNERS, engines: 2 * RUNNERS, accounts: 10 };
         let engine = ["--speed".to_owned(), ENGINE_SPEED.to_string()];
         let rig = Rig::start(&programs, size, &engine).await?;
         let ways = send(&rig, rate, duration).await?;
@@ -82,7 +83,7 @@
     while next < duration {
         tokio::time::sleep_until((begin + next).into()).await;
         let through = rng.random::<bool>();
-        let engine = rig.engines[count % RUNNERS].url.clone();
+        let engine = rig.engines[RUNNERS + count % RUNNERS].url.clone();
         let entry = rig.entries[0].url();
         let caller = caller.clone();
         calls.spawn(async move {
--- a/xtask/src/slopes/rig.rs
+++ b/xtask/src/slopes/rig.rs
@@ -25,6 +25,8 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a fleet settles before it is measured.
 const SETTLE: Duration = Duration::from_secs(5);
+/// Availability zone of all processes.
+const ZONE: &str = "zone-0";
 /// Model of the rig.
 pub const MODEL: &str = "name-0";
 /// Credential of the rig's first client account.
@@ -90,11 +92,10 @@
         }
         apply(&starter, &rig.platform.url, &configuration)?;
         for index in 0..size.entries {
-            let zone = "zone-0".to_owned();
             let id = format!("entry-{index}");
             let platform = &rig.platform.url;
-            let member = starter.entry(&id, ("region-0", &zone), platform).await?;
-            announce(platform, &id, &zone, &member).await?;
+            let member = starter.entry(&id, ("region-0", ZONE), platform).await?;
+            announce(platform, &id, &member).await?;
             rig.entries.push(member);
         }
         rig.wait_for_links().await?;
@@ -122,6 +123,7 @@
     ) -> Outcome {
         let line = &mut configuration.register.runners[index];
         line.service = "model-0".parse()?;
+        line.zone = ZONE.parse()?;
         let url = &self.engines[index % self.engines.len()].url;
         let backend = json!({"kind": "model", "url": url, "memory": 450_000});
         let zone = line.zone.to_string();
@@ -149,9 +151,9 @@
 }
 
 /// Puts an entry daemon in the platform's list of VMs.
-async fn announce(platform: &str, id: &str, zone: &str, member: &Member) -> Outcome {
+async fn announce(platform: &str, id: &str, member: &Member) -> Outcome {
     let vm = json!({
-        "name": id, "address": member.link, "zone": zone, "role": "entry", "phase": "live"
+        "name": id, "address": member.link, "zone": ZONE, "role": "entry", "phase": "live"
     });
     let request = reqwest::Client::new().put(format!("{platform}/admin/vms/{id}"));
     request.json(&vm).send().await?.error_for_status()?;
