--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -120,14 +120,21 @@
             if suspect {
                 self.note("it ran when an engine died; it runs apart from other such requests");
             }
-            let Some(call) = self.daemon.runners().choose(&self.request, &self.tried) else {
+            let now = self.daemon.now();
+            let chosen = self.daemon.runners().choose(&self.request, &self.tried, now);
+            let Some((call, why)) = chosen else {
                 return self.give_up(attempt, reason.0, reason.1);
             };
+            self.note(&format!("chose runner {}: {why}", call.runner()));
             self.tried.push(call.runner().clone());
             if !self.permit.start(self.daemon.claims()) {
                 return self.give_up(attempt, error::Kind::DeadlineExpired, None);
             }
-            let decision = match self.attempt(attempt, call, suspect).await {
+            let ended = self.attempt(attempt, call, suspect).await;
+            if let Some(runner) = self.tried.last() {
+                self.daemon.runners().routes().finished(&self.request.service, runner);
+            }
+            let decision = match ended {
                 Ended::With(end) => return self.settle(end, suspect),
                 Ended::Refused(sent, kind, retry_after) => {
                     self.note(&format!("the runner refused: {kind}"));
--- a/crates/entry/src/runners/dialer.rs
+++ b/crates/entry/src/runners/dialer.rs
@@ -35,6 +35,7 @@
         () = stopped.cancelled() => {}
     }
     remote.disconnected();
+    daemon.runners().routes().refresh(&remote);
 }
 
 /// Connects again and again.
@@ -47,6 +48,7 @@
                 pause = FIRST_PAUSE;
                 serve(daemon, remote, link).await;
                 remote.disconnected();
+                daemon.runners().routes().refresh(remote);
             }
             Ok(link) => {
                 let id = &remote.runner().id;
@@ -63,6 +65,7 @@
 async fn serve(daemon: &Daemon, remote: &Remote, link: Link) {
     let load = link.load.map(Load::from).unwrap_or_default();
     remote.connected(link.sender.clone(), link.peer.incarnation, load, daemon.now());
+    daemon.runners().routes().refresh(remote);
     let spread = daemon.spread().connected(remote.runner().id.as_str(), link.sender.clone());
     log::info!(runner:% = remote.runner().id; "link is open");
     tokio::select! {
@@ -99,6 +102,7 @@
     if let Body::Heartbeat(heartbeat) = body {
         if let Some(load) = heartbeat.load {
             remote.report(load.into(), daemon.now());
+            daemon.runners().routes().refresh(remote);
         }
         return;
     }
@@ -110,6 +114,7 @@
         Ok(Some((attempt, reply, load))) => {
             if let Some(load) = load {
                 remote.report(load, daemon.now());
+                daemon.runners().routes().refresh(remote);
             }
             if !remote.deliver(attempt, reply) {
                 log::debug!(request:% = attempt.request; "frame of another attempt was dropped");
