entry: prompts larger than an engine are served by a set of engines

Cause: reservations and segments stood ready in routing and in the runner process, but no entry daemon used them, so a prompt over one engine's memory was refused. Ruled out: asking all engines of a set at once, which can leave two such prompts holding half a set each; the order of ids and one try at a time cannot.

--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -10,6 +10,7 @@
 use kumquattiller_recovery::retry::Plan;
 use kumquattiller_recovery::stream::Replay;
 use kumquattiller_recovery::suspect::Standing;
+use kumquattiller_wire::Attempt as WireAttempt;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
@@ -120,20 +121,17 @@
             if suspect {
                 self.note("it ran when an engine died; it runs apart from other such requests");
             }
-            let now = self.daemon.now();
-            let chosen = self.daemon.runners().choose(&self.request, &self.tried, now);
-            let Some((call, why)) = chosen else {
-                return self.give_up(attempt, reason.0, reason.1);
+            let footprint = self.request.prompt.saturating_add(self.request.max_tokens);
+            let routes = self.daemon.runners().routes();
+            let run = if routes.needs_several(&self.request.service, footprint) {
+                self.run_on_several(attempt).await
+            } else {
+                self.run_on_one(attempt, suspect, reason).await
+            };
+            let ended = match run {
+                Ok(ended) => ended,
+                Err(end) => return end,
             };
-            self.note(&format!("chose runner {}: {why}", call.runner()));
-            self.tried.push(call.runner().clone());
-            if !self.permit.start(self.daemon.claims()) {
-                return self.give_up(attempt, error::Kind::DeadlineExpired, None);
-            }
-            let ended = self.attempt(attempt, call, suspect).await;
-            if let Some(runner) = self.tried.last() {
-                self.daemon.runners().routes().finished(&self.request.service, runner);
-            }
             let decision = match ended {
                 Ended::With(end) => return self.settle(end, suspect),
                 Ended::Refused(sent, kind, retry_after) => {
@@ -170,6 +168,43 @@
         }
     }
 
+    /// Chooses a runner and runs an attempt there; returns the end when there is none.
+    async fn run_on_one(
+        &mut self,
+        attempt: Attempt<Unsent>,
+        suspect: bool,
+        reason: (error::Kind, Option<Duration>),
+    ) -> Result<Ended, End> {
+        let now = self.daemon.now();
+        let chosen = self.daemon.runners().choose(&self.request, &self.tried, now);
+        let Some((call, why)) = chosen else {
+            return Err(self.give_up(attempt, reason.0, reason.1));
+        };
+        let runner = call.runner().clone();
+        self.note(&format!("chose runner {runner}: {why}"));
+        self.tried.push(runner.clone());
+        if !self.permit.start(self.daemon.claims()) {
+            return Err(self.give_up(attempt, error::Kind::DeadlineExpired, None));
+        }
+        let ended = self.attempt(attempt, call, suspect).await;
+        self.daemon.runners().routes().finished(&self.request.service, &runner);
+        Ok(ended)
+    }
+
+    /// Sets memory aside on several engines and runs an attempt there; returns the end when the
+    /// memory is not to be had.
+    async fn run_on_several(&mut self, attempt: Attempt<Unsent>) -> Result<Ended, End> {
+        let number = WireAttempt { request: attempt.request(), number: attempt.number() };
+        let (holding, parts) = match self.reserve(number).await {
+            Ok(reserved) => reserved,
+            Err((kind, retry_after)) => return Err(self.give_up(attempt, kind, retry_after)),
+        };
+        if !self.permit.start(self.daemon.claims()) {
+            return Err(self.give_up(attempt, error::Kind::DeadlineExpired, None));
+        }
+        Ok(self.attempt_on_several(attempt, holding, &parts).await)
+    }
+
     /// Notes a decision about the request.
     pub(super) fn note(&self, decision: &str) {
         self.daemon.note(self.request.id, decision);
--- /dev/null
+++ b/crates/entry/src/drive/long/holding.rs
@@ -0,0 +1,66 @@
+use std::collections::BTreeMap;
+
+use futures::FutureExt;
+use futures::future::select_all;
+use kumquattiller_base::runner;
+
+use crate::runners::Call;
+use crate::runners::Reply;
+
+/// Memory that is asked for or set aside on several runners; given back when dropped.
+#[derive(Debug)]
+pub struct Holding {
+    id: u64,
+    calls: BTreeMap<runner::Id, Call>,
+}
+
+impl Holding {
+    /// Begins without any.
+    pub fn new() -> Self {
+        Self { id: rand::random_range(1..=u64::MAX), calls: BTreeMap::new() }
+    }
+
+    /// Returns the id of the reservation.
+    pub const fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// Adds a runner that was asked.
+    pub fn add(&mut self, runner: runner::Id, call: Call) {
+        self.calls.insert(runner, call);
+    }
+
+    /// Gives the memory of a runner back.
+    pub fn release(&mut self, runner: &runner::Id) {
+        if let Some(call) = self.calls.remove(runner) {
+            call.release(self.id);
+        }
+    }
+
+    /// Returns the call to a runner.
+    pub fn call(&mut self, runner: &runner::Id) -> Option<&mut Call> {
+        self.calls.get_mut(runner)
+    }
+
+    /// Returns the next reply of any runner, or `None` with the runner whose link closed.
+    pub async fn reply(&mut self) -> (runner::Id, Option<Reply>) {
+        if self.calls.is_empty() {
+            return std::future::pending().await;
+        }
+        let replies = self.calls.iter_mut();
+        let replies = replies.map(|(id, call)| call.reply().map(|reply| (id.clone(), reply)));
+        let ((id, reply), _, _) = select_all(replies.map(Box::pin)).await;
+        if reply.is_none() {
+            self.calls.remove(&id);
+        }
+        (id, reply)
+    }
+}
+
+impl Drop for Holding {
+    fn drop(&mut self) {
+        for call in self.calls.values() {
+            call.release(self.id);
+        }
+    }
+}
--- a/crates/entry/src/drive/mod.rs
+++ b/crates/entry/src/drive/mod.rs
@@ -1,6 +1,7 @@
 //! Brings a request to its outcome.
 
 mod driver;
+mod long;
 mod output;
 mod permit;
 mod repeat;
--- a/crates/entry/src/drive/run.rs
+++ b/crates/entry/src/drive/run.rs
@@ -167,7 +167,7 @@
             }
             Reply::Refused { kind, retry_after } => Step::Refused(kind, retry_after),
             Reply::Failed { kind, .. } => Step::Failed(kind),
-            Reply::Accepted => Step::Next,
+            Reply::Accepted | Reply::Reserved { .. } | Reply::Prefilled(_) => Step::Next,
         }
     }
 
--- a/crates/entry/src/http/resume.rs
+++ b/crates/entry/src/http/resume.rs
@@ -127,6 +127,6 @@
         Reply::Refused { kind, .. } | Reply::Failed { kind, .. } => {
             Some(Outcome::Failed(kind).into())
         }
-        Reply::Accepted => None,
+        Reply::Accepted | Reply::Reserved { .. } | Reply::Prefilled(_) => None,
     }
 }
--- a/crates/entry/src/runners/call.rs
+++ b/crates/entry/src/runners/call.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use kumquattiller_base::runner;
+use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
 use kumquattiller_link::Closed;
 use kumquattiller_link::Sender;
@@ -29,12 +31,26 @@
     remote: Arc<Remote>,
     sender: Sender,
     current: Option<(Attempt, mpsc::UnboundedReceiver<Reply>)>,
+    tail: Option<Tail>,
+}
+
+/// The last segment of a prompt that is larger than an engine, and what stands before it.
+#[derive(Debug, Clone)]
+pub struct Tail {
+    /// The reservation that covers the segment and the answer.
+    pub reservation: u64,
+    /// KV of the segments before, in order.
+    pub context: Vec<link::Handle>,
+    /// Tokens of the segment.
+    pub tokens: Tokens,
+    /// Text of the segment.
+    pub body: Bytes,
 }
 
 impl Call {
     /// Prepares a call over an open link.
     pub const fn new(remote: Arc<Remote>, sender: Sender) -> Self {
-        Self { remote, sender, current: None }
+        Self { remote, sender, current: None, tail: None }
     }
 
     /// Returns the runner.
@@ -59,8 +75,54 @@
         let mut start = start_frame(request, attempt, self.remote.incarnation(), now);
         start.suspect = suspect;
         start.trace_parent = trace.to_string();
+        let mut body = &request.body;
+        if let Some(tail) = &self.tail {
+            tail.put_into(&mut start);
+            body = &tail.body;
+        }
         self.sender.send(Body::Start(start)).await?;
-        self.sender.send_body(attempt, &request.body).await
+        self.sender.send_body(attempt, body).await
+    }
+
+    /// Lets the next start bring the last segment of a prompt alone.
+    pub fn set_tail(&mut self, tail: Tail) {
+        self.tail = Some(tail);
+    }
+
+    /// Asks the runner to set memory aside.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the link is closed.
+    pub async fn reserve(
+        &mut self,
+        attempt: Attempt,
+        reserve: link::Reserve,
+    ) -> Result<(), Closed> {
+        self.current = Some((attempt, self.remote.wait_for(attempt)));
+        self.sender.send(Body::Reserve(reserve)).await
+    }
+
+    /// Sends a segment of a prompt to be computed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the link is closed.
+    pub async fn prefill(
+        &self,
+        attempt: Attempt,
+        prefill: link::Prefill,
+        body: &Bytes,
+    ) -> Result<(), Closed> {
+        self.sender.send(Body::Prefill(prefill)).await?;
+        self.sender.send_body(attempt, body).await
+    }
+
+    /// Gives back what was set aside, with everything under it.
+    pub fn release(&self, reservation: u64) {
+        let sender = self.sender.clone();
+        let release = link::Release { reservation };
+        tokio::spawn(async move { sender.send(Body::Release(release)).await });
     }
 
     /// Waits for a new link to the same start of the runner's process; returns whether it came.
@@ -121,6 +183,17 @@
     }
 }
 
+impl Tail {
+    /// Makes a start bring this segment in place of the whole prompt.
+    fn put_into(&self, start: &mut link::Start) {
+        start.reservation = self.reservation;
+        start.context.clone_from(&self.context);
+        start.prompt_tokens = self.tokens.get();
+        start.body_bytes = self.body.len() as u64;
+        start.block_hashes.clear();
+    }
+}
+
 impl Drop for Call {
     fn drop(&mut self) {
         if let Some((attempt, _)) = &self.current {
--- a/crates/entry/src/runners/mod.rs
+++ b/crates/entry/src/runners/mod.rs
@@ -9,6 +9,7 @@
 
 pub use call::Call;
 pub use call::REJOIN_LIMIT;
+pub use call::Tail;
 pub use pool::Pool;
 pub use remote::Remote;
 pub use reply::Reply;
--- a/crates/entry/src/runners/reply.rs
+++ b/crates/entry/src/runners/reply.rs
@@ -6,6 +6,7 @@
 use kumquattiller_wire::Body;
 use kumquattiller_wire::Error;
 use kumquattiller_wire::Load;
+use kumquattiller_wire::link;
 
 /// What a runner process answers to an attempt.
 #[derive(Debug, Clone)]
@@ -41,6 +42,13 @@
         /// Why a model stopped.
         finish_reason: String,
     },
+    /// Whether it set memory aside.
+    Reserved {
+        /// All of it is set aside.
+        granted: bool,
+    },
+    /// A segment of a prompt was computed, or why not.
+    Prefilled(Result<link::Handle, error::Kind>),
     /// It started and failed.
     Failed {
         /// Why.
@@ -90,6 +98,16 @@
                 let reply = Self::Failed { kind, backend_died: frame.backend_died };
                 (frame.attempt, reply, None)
             }
+            Body::Reserved(frame) => {
+                (frame.attempt, Self::Reserved { granted: frame.granted }, frame.load)
+            }
+            Body::Prefilled(frame) => {
+                let computed = match frame.handle {
+                    Some(handle) => Ok(handle),
+                    None => Err(kind_of(&frame.kind)?),
+                };
+                (frame.attempt, Self::Prefilled(computed), None)
+            }
             _ => return Ok(None),
         };
         Ok(Some((Attempt::from_field(attempt)?, reply, load.map(Load::from))))
--- a/crates/entry/src/runners/routes.rs
+++ b/crates/entry/src/runners/routes.rs
@@ -5,10 +5,12 @@
 
 use kumquattiller_base::runner;
 use kumquattiller_base::service;
+use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
 use kumquattiller_inventory::register;
 use kumquattiller_routing::choice::Choice;
 use kumquattiller_routing::load::Load;
+use kumquattiller_routing::long;
 use kumquattiller_routing::pace::Pace;
 use kumquattiller_routing::policy::Policy;
 use kumquattiller_routing::prefix;
@@ -102,6 +104,47 @@
         Ok(choice)
     }
 
+    /// Tells whether no single engine holds a request, though several may.
+    pub fn needs_several(&self, service: &service::Name, footprint: Tokens) -> bool {
+        let services = self.lock();
+        let Some(Route { table, .. }) = services.get(service) else {
+            return false;
+        };
+        let largest = table.runners().iter().map(long::usable).max().unwrap_or_default();
+        largest > Tokens::ZERO && footprint > largest
+    }
+
+    /// Begins to reserve memory on several engines.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no reachable set of engines holds the request.
+    pub fn begin_reservation(
+        &self,
+        service: &service::Name,
+        footprint: Tokens,
+        start_by: Moment,
+        now: Moment,
+    ) -> Result<(long::Reservation, Vec<long::Action>), long::TooLarge> {
+        let mut services = self.lock();
+        let Route { table, router } = services.entry(service.clone()).or_default();
+        let aside = router.division(table).long_engines;
+        long::Reservation::begin(table, footprint, aside, start_by, now)
+    }
+
+    /// Tells a reservation what happened and returns what to do.
+    pub fn advance_reservation(
+        &self,
+        service: &service::Name,
+        reservation: &mut long::Reservation,
+        event: long::Event,
+        now: Moment,
+    ) -> Vec<long::Action> {
+        let mut services = self.lock();
+        let Route { table, .. } = services.entry(service.clone()).or_default();
+        reservation.handle(event, table, now, &mut rand::rng())
+    }
+
     /// Records that an attempt ended.
     pub fn finished(&self, service: &service::Name, runner: &runner::Id) {
         if let Some(route) = self.lock().get_mut(service) {
--- a/crates/routing/src/long/mod.rs
+++ b/crates/routing/src/long/mod.rs
@@ -9,10 +9,14 @@
 
 mod plan;
 mod reservation;
+mod segment;
 
 pub use plan::Part;
 pub use plan::TooLarge;
 pub use plan::plan;
+pub use plan::usable;
 pub use reservation::Action;
 pub use reservation::Event;
 pub use reservation::Reservation;
+pub use segment::Segment;
+pub use segment::cut;
--- a/crates/routing/src/long/plan.rs
+++ b/crates/routing/src/long/plan.rs
@@ -86,7 +86,7 @@
 }
 
 /// Returns the memory of an idle engine that prompts over 8,000 tokens may take.
-fn usable(runner: &Runner) -> Tokens {
+pub fn usable(runner: &Runner) -> Tokens {
     let capacity = runner.load.capacity;
     capacity.saturating_sub(Tokens::new(capacity.get() / SHORT_RESERVE_SHARE))
 }
--- a/crates/runner/src/link/segments.rs
+++ b/crates/runner/src/link/segments.rs
@@ -122,6 +122,7 @@
         granted: kind.is_none(),
         kind: kind.map(|kind| kind.to_string()).unwrap_or_default(),
         load: Some(process.load().into()),
+        attempt: frame.attempt,
     })
 }
 
--- a/crates/runner/src/link/starts.rs
+++ b/crates/runner/src/link/starts.rs
@@ -67,7 +67,7 @@
         if start.incarnation != 0 && start.incarnation != self.process.identity().incarnation {
             return Err(error::Kind::NoRunner.into());
         }
-        if self.process.settings().backend.kind == service::Kind::Plain {
+        if self.process.settings().backend.kind == service::Kind::Plain || start.reservation != 0 {
             return Ok(Place::free());
         }
         self.process.gate().enter(Item {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod crashing;
 mod drain;
 mod files;
+mod long_prompts;
 mod membership;
 mod memory;
 mod orders;
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -96,7 +96,7 @@
         role: "entry".to_owned(),
     };
     let mut daemon = Link::connect(fleet.runners[0].link, &identity, 0).await.expect("a link");
-    let reserve = link::Reserve { reservation: 7, tokens: 5_000, ttl_ms: 60_000 };
+    let reserve = link::Reserve { reservation: 7, tokens: 5_000, ttl_ms: 60_000, attempt: None };
     let reserved = ask(&mut daemon, Body::Reserve(reserve), |body| match body {
         Body::Reserved(reserved) => Some(reserved),
         _ => None,
