--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod memory;
 mod orders;
 mod path;
+mod promises_page;
 mod resume;
 mod routing;
 mod sessions;
