recovery, telemetry: field terms in place of legal ones

Cause: ward, accused, convicted, acquitted, case and book needed explaining. Ruled out: aliases beside the old names. Conclusion: Monitor, Involved, confirmed, cleared, Record, History; behaviour is the same, but the store's object is suspects/records now.

--- a/crates/entry/src/drive/driver.rs
+++ b/crates/entry/src/drive/driver.rs
@@ -222,7 +222,7 @@
         if matches!(end.outcome, Outcome::Done { .. }) {
             self.daemon.retries().succeed();
             if suspect {
-                self.daemon.suspects().acquit(self.request.fingerprint);
+                self.daemon.suspects().clear(self.request.fingerprint);
             }
         }
         end
--- a/crates/entry/src/suspects/cases.rs
+++ b/crates/entry/src/suspects/records.rs
@@ -4,14 +4,14 @@
 
 use kumquattiller_base::fingerprint::Fingerprint;
 use kumquattiller_base::time::Moment;
-use kumquattiller_recovery::suspect::Accused;
 use kumquattiller_recovery::suspect::Id;
+use kumquattiller_recovery::suspect::Involved;
 use kumquattiller_recovery::suspect::Registry;
 use kumquattiller_recovery::suspect::Standing;
 use kumquattiller_wire::link;
 use tokio::sync::Notify;
 
-/// The cases that a daemon knows.
+/// The records that a daemon knows.
 #[derive(Debug, Default)]
 pub struct Suspects {
     registry: Mutex<Registry>,
@@ -25,9 +25,9 @@
         for suspect in &report.suspects {
             let high = u128::from(suspect.fingerprint_high) << 64;
             let fingerprint = Fingerprint::new(high | u128::from(suspect.fingerprint_low));
-            let accused = Accused { fingerprint, suspect: suspect.convicted };
-            new |= self.registry().died(accused, Id::new(suspect.death), now);
-            log::warn!(fingerprint:% = fingerprint, convicted = suspect.convicted; "engine died");
+            let involved = Involved { fingerprint, suspect: suspect.confirmed };
+            new |= self.registry().died(involved, Id::new(suspect.death), now);
+            log::warn!(fingerprint:% = fingerprint, confirmed = suspect.confirmed; "engine died");
         }
         if new {
             self.changed.notify_one();
@@ -40,8 +40,8 @@
     }
 
     /// Acquits a request that ended with its whole answer.
-    pub fn acquit(&self, fingerprint: Fingerprint) {
-        if self.registry().acquit(fingerprint) {
+    pub fn clear(&self, fingerprint: Fingerprint) {
+        if self.registry().clear(fingerprint) {
             self.changed.notify_one();
         }
     }
--- a/crates/entry/src/suspects/store.rs
+++ b/crates/entry/src/suspects/store.rs
@@ -9,22 +9,22 @@
 
 use crate::Daemon;
 
-/// Kind of the store's object with the cases.
+/// Kind of the store's object with the records.
 const OBJECT_KIND: &str = "suspects";
 /// Its name.
-const OBJECT_NAME: &str = "cases";
+const OBJECT_NAME: &str = "records";
 /// Time between reads.
 const READ_INTERVAL: Duration = Duration::from_secs(30);
 /// Longest pause before a write, so that daemons that heard the same do not collide.
 const MAX_PAUSE_MS: u64 = 500;
 
-/// Merges the cases with those in the store, at the start, after news and at intervals.
+/// Merges the records with those in the store, at the start, after news and at intervals.
 pub async fn run(daemon: Daemon) {
     let mut news = false;
     loop {
         match merge(&daemon, news).await {
             Ok(()) => news = false,
-            Err(error) => log::debug!("cases were not merged with the store: {error}"),
+            Err(error) => log::debug!("records were not merged with the store: {error}"),
         }
         let pause = Duration::from_millis(rand::random_range(0..MAX_PAUSE_MS));
         tokio::select! {
@@ -38,7 +38,7 @@
     }
 }
 
-/// Reads the cases and, when this daemon has news, writes them back.
+/// Reads the records and, when this daemon has news, writes them back.
 async fn merge(daemon: &Daemon, news: bool) -> Result<(), Error> {
     let stored = daemon.platform().get::<Wire>(OBJECT_KIND, OBJECT_NAME).await?;
     let condition = stored.as_ref().map_or(Condition::Absent, |s| Condition::Version(s.version));
--- a/crates/recovery/src/suspect/death.rs
+++ b/crates/recovery/src/suspect/death.rs
@@ -31,14 +31,14 @@
     /// The death.
     pub id: Id,
     /// The requests that the engine was running.
-    pub running: Vec<Accused>,
+    pub running: Vec<Involved>,
 }
 
 /// A request that was running when an engine died.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Accused {
+pub struct Involved {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// It ran as a suspect, apart from others, so the death convicts it.
+    /// It ran as a suspect, apart from others, so the death confirms it.
     pub suspect: bool,
 }
--- a/crates/recovery/src/suspect/ward.rs
+++ b/crates/recovery/src/suspect/monitor.rs
@@ -2,30 +2,30 @@
 
 use kumquattiller_base::fingerprint::Fingerprint;
 
-use crate::suspect::Accused;
 use crate::suspect::Death;
 use crate::suspect::Id;
+use crate::suspect::Involved;
 
 /// What a runner process knows of the requests on its engine.
 #[derive(Debug)]
-pub struct Ward<K> {
+pub struct Monitor<K> {
     runner: String,
     incarnation: u64,
     deaths: u64,
-    running: BTreeMap<K, Patient>,
+    running: BTreeMap<K, Run>,
 }
 
 /// One running attempt.
 #[derive(Debug)]
-struct Patient {
+struct Run {
     fingerprint: Fingerprint,
     suspect: bool,
     blamed: Option<Id>,
 }
 
-impl Patient {
-    const fn accused(&self) -> Accused {
-        Accused { fingerprint: self.fingerprint, suspect: self.suspect }
+impl Run {
+    const fn involved(&self) -> Involved {
+        Involved { fingerprint: self.fingerprint, suspect: self.suspect }
     }
 }
 
@@ -38,19 +38,19 @@
     EngineDied,
 }
 
-impl<K: Ord + Copy> Ward<K> {
-    /// Builds the ward of one start of a runner process.
+impl<K: Ord + Copy> Monitor<K> {
+    /// Builds the monitor of one start of a runner process.
     pub const fn new(runner: String, incarnation: u64) -> Self {
         Self { runner, incarnation, deaths: 0, running: BTreeMap::new() }
     }
 
     /// Takes an attempt in; returns false for a suspect while another one runs.
     pub fn enter(&mut self, attempt: K, fingerprint: Fingerprint, suspect: bool) -> bool {
-        let taken = self.running.values().any(|patient| patient.suspect);
+        let taken = self.running.values().any(|run| run.suspect);
         if suspect && taken {
             return false;
         }
-        self.running.insert(attempt, Patient { fingerprint, suspect, blamed: None });
+        self.running.insert(attempt, Run { fingerprint, suspect, blamed: None });
         true
     }
 
@@ -58,19 +58,19 @@
     ///
     /// The first attempt that ends with its engine stands for all that run beside it.
     pub fn leave(&mut self, attempt: K, end: End) -> Option<(Death, bool)> {
-        let patient = self.running.remove(&attempt)?;
+        let run = self.running.remove(&attempt)?;
         if end == End::EngineLives {
             return None;
         }
-        if let Some(id) = patient.blamed {
-            return Some((Death { id, running: vec![patient.accused()] }, false));
+        if let Some(id) = run.blamed {
+            return Some((Death { id, running: vec![run.involved()] }, false));
         }
         self.deaths += 1;
         let id = Id::of(&self.runner, self.incarnation, self.deaths);
-        let mut running = vec![patient.accused()];
+        let mut running = vec![run.involved()];
         for beside in self.running.values_mut() {
             beside.blamed = Some(id);
-            running.push(beside.accused());
+            running.push(beside.involved());
         }
         Some((Death { id, running }, true))
     }
--- a/crates/recovery/tests/suspects.rs
+++ b/crates/recovery/tests/suspects.rs
@@ -8,14 +8,14 @@
 
 use kumquattiller_base::fingerprint::Fingerprint;
 use kumquattiller_base::time::Moment;
-use kumquattiller_recovery::suspect::Accused;
 use kumquattiller_recovery::suspect::Death;
 use kumquattiller_recovery::suspect::End;
 use kumquattiller_recovery::suspect::Id;
+use kumquattiller_recovery::suspect::Involved;
+use kumquattiller_recovery::suspect::Monitor;
 use kumquattiller_recovery::suspect::RETENTION;
 use kumquattiller_recovery::suspect::Registry;
 use kumquattiller_recovery::suspect::Standing;
-use kumquattiller_recovery::suspect::Ward;
 use kumquattiller_recovery::suspect::Wire;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -44,9 +44,9 @@
     ]
 }
 
-/// Engines with their wards, and daemons with their registries.
+/// Engines with their monitors, and daemons with their registries.
 struct Fleet {
-    wards: Vec<Ward<u64>>,
+    monitors: Vec<Monitor<u64>>,
     running: Vec<BTreeMap<u64, Fingerprint>>,
     registries: Vec<Registry>,
     unheard: Vec<Vec<Death>>,
@@ -59,7 +59,9 @@
 impl Fleet {
     fn new(at_once: bool) -> Self {
         Self {
-            wards: (0..ENGINES).map(|index| Ward::new(format!("runner-{index}"), 1)).collect(),
+            monitors: (0..ENGINES)
+                .map(|index| Monitor::new(format!("runner-{index}"), 1))
+                .collect(),
             running: vec![BTreeMap::new(); ENGINES],
             registries: (0..DAEMONS).map(|_| Registry::default()).collect(),
             unheard: vec![Vec::new(); DAEMONS],
@@ -93,7 +95,7 @@
             Standing::Clear => false,
         };
         self.attempts += 1;
-        if self.wards[engine].enter(self.attempts, request, suspect) {
+        if self.monitors[engine].enter(self.attempts, request, suspect) {
             self.running[engine].insert(self.attempts, request);
         }
         standing
@@ -105,17 +107,17 @@
             self.lost += 1;
             self.running[engine].clear();
             for attempt in running.keys() {
-                let death = self.wards[engine].leave(*attempt, End::EngineDied);
+                let death = self.monitors[engine].leave(*attempt, End::EngineDied);
                 if let Some((death, true)) = death {
                     self.report(&death);
                 }
             }
         } else if let Some((attempt, request)) = running.first_key_value() {
             self.running[engine].remove(attempt);
-            self.wards[engine].leave(*attempt, End::EngineLives);
+            self.monitors[engine].leave(*attempt, End::EngineLives);
             self.finished.insert(*request);
             for registry in &mut self.registries {
-                registry.acquit(*request);
+                registry.clear(*request);
             }
         }
     }
@@ -137,8 +139,8 @@
 }
 
 fn hear(registry: &mut Registry, death: &Death) {
-    for accused in &death.running {
-        registry.died(*accused, death.id, Moment::ZERO);
+    for involved in &death.running {
+        registry.died(*involved, death.id, Moment::ZERO);
     }
 }
 
@@ -208,43 +210,43 @@
 
 #[test]
 fn two_suspects_never_share_an_engine() {
-    let mut ward = Ward::new("runner-a".to_owned(), 1);
-    assert!(ward.enter(1, Fingerprint::new(1), true));
-    assert!(ward.enter(2, Fingerprint::new(2), false));
-    assert!(!ward.enter(3, Fingerprint::new(3), true));
-    ward.leave(1, End::EngineLives);
-    assert!(ward.enter(3, Fingerprint::new(3), true));
+    let mut monitor = Monitor::new("runner-a".to_owned(), 1);
+    assert!(monitor.enter(1, Fingerprint::new(1), true));
+    assert!(monitor.enter(2, Fingerprint::new(2), false));
+    assert!(!monitor.enter(3, Fingerprint::new(3), true));
+    monitor.leave(1, End::EngineLives);
+    assert!(monitor.enter(3, Fingerprint::new(3), true));
 }
 
 #[test]
 fn all_attempts_of_one_death_carry_one_id() {
-    let mut ward = Ward::new("runner-a".to_owned(), 1);
-    (1..=3_u64).for_each(|n| assert!(ward.enter(n, Fingerprint::new(u128::from(n)), false)));
-    let (first, new) = ward.leave(2, End::EngineDied).expect("a death");
+    let mut monitor = Monitor::new("runner-a".to_owned(), 1);
+    (1..=3_u64).for_each(|n| assert!(monitor.enter(n, Fingerprint::new(u128::from(n)), false)));
+    let (first, new) = monitor.leave(2, End::EngineDied).expect("a death");
     assert!(new);
     assert_eq!(first.running.len(), 3);
-    let (second, new) = ward.leave(1, End::EngineDied).expect("the same death");
+    let (second, new) = monitor.leave(1, End::EngineDied).expect("the same death");
     assert!(!new);
     assert_eq!(second.id, first.id);
-    assert_eq!(ward.leave(3, End::EngineLives), None);
+    assert_eq!(monitor.leave(3, End::EngineLives), None);
 }
 
 #[test]
 fn a_case_goes_through_the_store_and_is_forgotten_in_time() {
     let mut registry = Registry::default();
     let request = Fingerprint::new(1);
-    let accused = |suspect| Accused { fingerprint: request, suspect };
-    assert!(registry.died(accused(false), Id::new(1), Moment::ZERO));
-    assert!(!registry.died(accused(false), Id::new(1), Moment::ZERO), "one death counts once");
+    let involved = |suspect| Involved { fingerprint: request, suspect };
+    assert!(registry.died(involved(false), Id::new(1), Moment::ZERO));
+    assert!(!registry.died(involved(false), Id::new(1), Moment::ZERO), "one death counts once");
     assert_eq!(registry.standing(request, Moment::ZERO), Standing::Suspect);
     let json = serde_json::to_string(&Wire::of(&registry, Moment::ZERO, 5_000)).expect("JSON");
     let wire: Wire = serde_json::from_str(&json).expect("cases");
     let mut other = Registry::default();
     let now = Moment::from_millis(60_000);
-    assert!(other.died(accused(true), Id::new(2), now));
+    assert!(other.died(involved(true), Id::new(2), now));
     assert!(wire.merge_into(&mut other, now, 6_000));
     assert!(matches!(other.standing(request, now), Standing::Refused { .. }));
-    assert!(other.acquit(request));
+    assert!(other.clear(request));
     assert_eq!(other.standing(request, now), Standing::Clear);
     let after = Moment::ZERO + RETENTION + Duration::from_millis(1);
     assert_eq!(registry.standing(request, after), Standing::Clear);
--- a/crates/runner/src/suspects.rs
+++ b/crates/runner/src/suspects.rs
@@ -9,11 +9,11 @@
 use kumquattiller_base::fingerprint::Fingerprint;
 use kumquattiller_base::request;
 use kumquattiller_link::Sender;
-use kumquattiller_recovery::suspect::Accused;
 use kumquattiller_recovery::suspect::Death;
 use kumquattiller_recovery::suspect::End;
+use kumquattiller_recovery::suspect::Involved;
+use kumquattiller_recovery::suspect::Monitor;
 use kumquattiller_recovery::suspect::RETENTION;
-use kumquattiller_recovery::suspect::Ward;
 use kumquattiller_wire::Attempt;
 use kumquattiller_wire::Body;
 use kumquattiller_wire::link;
@@ -22,18 +22,18 @@
 /// Longest wait for room on a link.
 const REPORT_LIMIT: Duration = Duration::from_millis(100);
 
-/// The ward of the engine and the links to report deaths on.
+/// The monitor of the engine and the links to report deaths on.
 #[derive(Debug)]
 pub struct Suspects {
-    ward: Mutex<Ward<(request::Id, attempt::Number)>>,
+    monitor: Mutex<Monitor<(request::Id, attempt::Number)>>,
     links: Mutex<Vec<Sender>>,
 }
 
 impl Suspects {
-    /// Sets up the ward of one start of a process.
+    /// Sets up the monitor of one start of a process.
     pub fn new(runner: &str, incarnation: u64) -> Self {
-        let ward = Mutex::new(Ward::new(runner.to_owned(), incarnation));
-        Self { ward, links: Mutex::default() }
+        let monitor = Mutex::new(Monitor::new(runner.to_owned(), incarnation));
+        Self { monitor, links: Mutex::default() }
     }
 
     /// Adds a link to report deaths on.
@@ -47,13 +47,13 @@
     pub fn enter(&self, attempt: Attempt, start: &link::Start) -> bool {
         let high = u128::from(start.fingerprint_high) << 64;
         let fingerprint = Fingerprint::new(high | u128::from(start.fingerprint_low));
-        lock(&self.ward).enter((attempt.request, attempt.number), fingerprint, start.suspect)
+        lock(&self.monitor).enter((attempt.request, attempt.number), fingerprint, start.suspect)
     }
 
     /// Lets an attempt out; a death is on every link before this returns.
     pub async fn leave(&self, attempt: Attempt, engine_died: bool) {
         let end = if engine_died { End::EngineDied } else { End::EngineLives };
-        let death = lock(&self.ward).leave((attempt.request, attempt.number), end);
+        let death = lock(&self.monitor).leave((attempt.request, attempt.number), end);
         let Some((death, true)) = death else {
             return;
         };
@@ -68,13 +68,13 @@
 
 /// Builds the report of a death.
 fn report(death: &Death) -> link::Suspects {
-    let suspect = |accused: &Accused| link::Suspect {
-        fingerprint_high: (accused.fingerprint.get() >> 64) as u64,
-        fingerprint_low: accused.fingerprint.get() as u64,
+    let suspect = |involved: &Involved| link::Suspect {
+        fingerprint_high: (involved.fingerprint.get() >> 64) as u64,
+        fingerprint_low: involved.fingerprint.get() as u64,
         deaths: 1,
         left_ms: RETENTION.as_millis() as u64,
         death: death.id.get(),
-        convicted: accused.suspect,
+        confirmed: involved.suspect,
     };
     link::Suspects { suspects: death.running.iter().map(suspect).collect() }
 }
--- a/crates/telemetry/src/explain/book.rs
+++ b/crates/telemetry/src/explain/history.rs
@@ -11,7 +11,7 @@
 /// The oldest request leaves when there are too many, and each leaves when its time is over, so
 /// that the memory is bounded by [`Limit`].
 #[derive(Debug, Default)]
-pub struct Book {
+pub struct History {
     limit: Limit,
     entries: HashMap<request::Id, Entry>,
     order: VecDeque<request::Id>,
@@ -25,8 +25,8 @@
     dropped: usize,
 }
 
-impl Book {
-    /// Makes an empty book.
+impl History {
+    /// Makes an empty history.
     pub fn new(limit: Limit) -> Self {
         Self { limit, ..Self::default() }
     }
--- a/crates/telemetry/src/explain/limit.rs
+++ b/crates/telemetry/src/explain/limit.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-/// Bounds of a [`Book`](crate::explain::Book).
+/// Bounds of a [`History`](crate::explain::History).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limit {
     /// Most requests.
--- a/crates/telemetry/src/explain/mod.rs
+++ b/crates/telemetry/src/explain/mod.rs
@@ -1,7 +1,7 @@
 //! The reasons of decisions about recent requests.
 
-mod book;
+mod history;
 mod limit;
 
-pub use book::Book;
+pub use history::History;
 pub use limit::Limit;
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -5,14 +5,14 @@
 use kumquattiller_base::request;
 use kumquattiller_base::time::Moment;
 
-use crate::explain::Book;
+use crate::explain::History;
 use crate::metrics::Metrics;
 
 /// The metrics and the decisions of a process, shared by its tasks.
 #[derive(Debug, Default)]
 pub struct Recorder {
     metrics: Metrics,
-    book: Mutex<Book>,
+    history: Mutex<History>,
 }
 
 impl Recorder {
@@ -24,15 +24,15 @@
     /// Notes a decision about a request, for `kumquattiller explain` and the log.
     pub fn note(&self, now: Moment, request: request::Id, decision: &str) {
         log::debug!(request:% = request; "{decision}");
-        self.book().note(now, request, decision);
+        self.history().note(now, request, decision);
     }
 
     /// Returns the decisions about a request in their order; empty when it is not known.
     pub fn lines(&self, now: Moment, request: request::Id) -> Vec<String> {
-        self.book().lines(now, request)
+        self.history().lines(now, request)
     }
 
-    fn book(&self) -> MutexGuard<'_, Book> {
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    fn history(&self) -> MutexGuard<'_, History> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/telemetry/tests/explain.rs
+++ b/crates/telemetry/tests/explain.rs
@@ -1,10 +1,10 @@
-//! The book of decisions stays within its limits and keeps the newest requests.
+//! The history of decisions stays within its limits and keeps the newest requests.
 
 use std::time::Duration;
 
 use kumquattiller_base::request;
 use kumquattiller_base::time::Moment;
-use kumquattiller_telemetry::explain::Book;
+use kumquattiller_telemetry::explain::History;
 use kumquattiller_telemetry::explain::Limit;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
@@ -33,30 +33,30 @@
 
 #[test]
 fn lines_carry_the_time_since_the_first() {
-    let mut book = Book::new(LIMIT);
-    book.note(Moment::from_millis(1_000), id(1), "admitted");
-    book.note(Moment::from_millis(1_250), id(1), "sent to runner a");
-    let lines = book.lines(Moment::from_millis(1_300), id(1));
+    let mut history = History::new(LIMIT);
+    history.note(Moment::from_millis(1_000), id(1), "admitted");
+    history.note(Moment::from_millis(1_250), id(1), "sent to runner a");
+    let lines = history.lines(Moment::from_millis(1_300), id(1));
     assert_eq!(lines, ["+0.000 s admitted", "+0.250 s sent to runner a"]);
 }
 
 #[test]
 fn lines_over_the_limit_are_counted() {
-    let mut book = Book::new(LIMIT);
+    let mut history = History::new(LIMIT);
     for _ in 0..5 {
-        book.note(Moment::ZERO, id(1), "again");
+        history.note(Moment::ZERO, id(1), "again");
     }
-    let lines = book.lines(Moment::ZERO, id(1));
+    let lines = history.lines(Moment::ZERO, id(1));
     assert_eq!(lines.last().map(String::as_str), Some("2 more decisions are not kept"));
 }
 
 #[test]
 fn requests_leave_when_their_time_is_over() {
-    let mut book = Book::new(LIMIT);
-    book.note(Moment::ZERO, id(1), "admitted");
-    assert!(book.lines(Moment::from_millis(10_001), id(1)).is_empty());
-    book.note(Moment::from_millis(10_001), id(2), "admitted");
-    assert_eq!(book.len(), 1);
+    let mut history = History::new(LIMIT);
+    history.note(Moment::ZERO, id(1), "admitted");
+    assert!(history.lines(Moment::from_millis(10_001), id(1)).is_empty());
+    history.note(Moment::from_millis(10_001), id(2), "admitted");
+    assert_eq!(history.len(), 1);
 }
 
 proptest! {
@@ -64,13 +64,13 @@
 
     #[test]
     fn the_book_stays_within_its_limits(notes in prop::collection::vec((0u128..9, 0u64..4_000, "\\PC{0,60}"), 0..60)) {
-        let mut book = Book::new(LIMIT);
+        let mut history = History::new(LIMIT);
         let mut now = Moment::ZERO;
         for (request, wait_ms, text) in notes {
             now = now + Duration::from_millis(wait_ms);
-            book.note(now, id(request), &text);
-            prop_assert!(book.len() <= LIMIT.requests);
-            let lines = book.lines(now, id(request));
+            history.note(now, id(request), &text);
+            prop_assert!(history.len() <= LIMIT.requests);
+            let lines = history.lines(now, id(request));
             prop_assert!(!lines.is_empty() && lines.len() <= LIMIT.lines + 1);
             prop_assert!(lines.iter().all(|l| l.len() <= LIMIT.line_bytes));
         }
--- a/tests/testsuite/crashing.rs
+++ b/tests/testsuite/crashing.rs
@@ -79,7 +79,7 @@
                 .list("suspects")
                 .objects
                 .iter()
-                .any(|o| o.value.to_string().contains("convictions"))
+                .any(|o| o.value.to_string().contains("confirmations"))
         },
     )
     .await;
