entry: a continued answer names its model; commands share a proposal

Cause: the golden file of a resumed session shows an empty model; apply and diff read the same arguments twice. Ruled out: the model in the event id, which callers would have to carry. Conclusion: a caller that repeats its body with Last-Event-ID gets the model.

--- a/crates/entry/src/http/body/mod.rs
+++ b/crates/entry/src/http/body/mod.rs
@@ -2,10 +2,12 @@
 
 mod chat;
 mod completion;
+mod named;
 mod prompt;
 
 pub use chat::Chat;
 pub use completion::Completion;
+pub use named::Named;
 pub use prompt::Prompt;
 
 use kumquattiller_base::error;
--- a/crates/entry/src/http/models.rs
+++ b/crates/entry/src/http/models.rs
@@ -53,7 +53,8 @@
     let trace = headers::trace(headers);
     let account = headers::account(headers, &daemon.snapshot())?;
     if let Some(event_id) = headers::last_event_id(headers)? {
-        return Ok(resume::serve(daemon, account, event_id, shape).await);
+        let model = body::Named::read(&handlers::read_body(daemon, body).await?).model;
+        return Ok(resume::serve(daemon, account, event_id, shape, model).await);
     }
     let deadline = headers::deadline(headers)?;
     let key = headers::key(headers, &account)?;
--- a/crates/entry/src/http/resume.rs
+++ b/crates/entry/src/http/resume.rs
@@ -31,6 +31,7 @@
     account: account::Id,
     event_id: EventId,
     shape: Shape,
+    model: String,
 ) -> Response {
     let EventId(position) = event_id;
     let id = position.attempt.request;
@@ -39,7 +40,7 @@
     };
     let (output, pieces) = mpsc::channel(OUTPUT_PIECES);
     daemon.spawn(copy(call, account, position, output));
-    answer::streamed(id, shape, String::new(), pieces).await
+    answer::streamed(id, shape, model, pieces).await
 }
 
 /// What ended the copying over one link.
--- a/src/bin/kumquattiller/commands/apply.rs
+++ b/src/bin/kumquattiller/commands/apply.rs
@@ -1,12 +1,11 @@
-use std::path::PathBuf;
-
 use kumquattiller::command;
 use kumquattiller::error;
 use kumquattiller::ops;
-use kumquattiller::ops::Files;
 use kumquattiller_rollout::commit::Outcome;
 use pico_args::Arguments;
 
+use crate::commands::proposal::Proposal;
+
 /// Returns the help text.
 pub fn cli() -> &'static str {
     "\
@@ -28,13 +27,8 @@
 /// # Errors
 ///
 /// Fails on a wrong command line or file, on a conflict, and when the store cannot be reached.
-pub fn exec(mut args: Arguments) -> error::Result {
-    let json = args.contains("--json");
-    let platform: String = command::required(&mut args, "--platform", cli())?;
-    let register: PathBuf = command::required(&mut args, "--register", cli())?;
-    let rules: PathBuf = command::required(&mut args, "--rules", cli())?;
-    command::finish(args, cli())?;
-    let files = Files::read(&register, &rules)?;
+pub fn exec(args: Arguments) -> error::Result {
+    let Proposal { platform, files, json } = Proposal::read(args, cli())?;
     let outcome = command::block_on(ops::apply(&platform, &files))?;
     match outcome {
         Outcome::Accepted(version) if json => {
--- a/src/bin/kumquattiller/commands/diff.rs
+++ b/src/bin/kumquattiller/commands/diff.rs
@@ -1,13 +1,12 @@
-use std::path::PathBuf;
-
 use kumquattiller::command;
 use kumquattiller::error;
 use kumquattiller::error::Code;
 use kumquattiller::error::Error;
 use kumquattiller::ops;
-use kumquattiller::ops::Files;
 use pico_args::Arguments;
 
+use crate::commands::proposal::Proposal;
+
 /// Returns the help text.
 pub fn cli() -> &'static str {
     "\
@@ -29,13 +28,8 @@
 ///
 /// Fails on a wrong command line, a wrong file or an unreachable store, and when the
 /// configurations differ.
-pub fn exec(mut args: Arguments) -> error::Result {
-    let json = args.contains("--json");
-    let platform: String = command::required(&mut args, "--platform", cli())?;
-    let register: PathBuf = command::required(&mut args, "--register", cli())?;
-    let rules: PathBuf = command::required(&mut args, "--rules", cli())?;
-    command::finish(args, cli())?;
-    let files = Files::read(&register, &rules)?;
+pub fn exec(args: Arguments) -> error::Result {
+    let Proposal { platform, files, json } = Proposal::read(args, cli())?;
     let difference = command::block_on(ops::diff(&platform, &files))?;
     if json {
         println!("{}", serde_json::json!(difference));
--- a/src/bin/kumquattiller/commands/mod.rs
+++ b/src/bin/kumquattiller/commands/mod.rs
@@ -5,6 +5,7 @@
 mod diff;
 mod drain;
 mod explain;
+mod proposal;
 mod serve;
 mod status;
 
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -75,6 +75,23 @@
     assert_eq!(text + &more, whole.text());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_continued_answer_names_the_model_of_its_body() {
+    let fleet = fleet().start().await;
+    let body = Caller::completion(MODEL, &prompt(1_000), 60, true);
+    let mut stream = fleet.caller(0).stream(&body).await.expect("answer is streamed");
+    assert!(matches!(stream.next().await, Piece::Text(_)));
+    let last = stream.last_event_id().to_owned();
+    let caller = fleet.caller(1);
+    let request = caller.request("POST", "/v1/completions").header("Last-Event-ID", last);
+    let answer = caller.send(request.json(&body)).await;
+    let events = answer.body.as_str().expect("events are text");
+    let named = format!("\"model\":\"{MODEL}\"");
+    let pieces = events.lines().filter(|line| line.starts_with("data: {"));
+    assert!(pieces.clone().count() > 1, "{events}");
+    assert!(pieces.into_iter().all(|line| line.contains(&named)), "{events}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_nobody_listens_to_is_cancelled() {
     let fleet = fleet().engines(1).start().await;
--- a/xtask/src/slopes/target.rs
+++ b/xtask/src/slopes/target.rs
@@ -15,8 +15,12 @@
 pub const CHANGES_PER_DAY: f64 = 31_000.0;
 /// Items of the configuration for a client account: its line in the register and its rule.
 const ITEMS_PER_ACCOUNT: f64 = 2.0;
-/// Links of a daemon that keeps a subset of the runners.
-pub const SUBSET: f64 = 64.0;
+/// Links of a daemon to the runners of one service: 48 of its zone, 32 of its region, 8 of others.
+pub const SUBSET: f64 = 88.0;
+/// Services, one for each model.
+const SERVICES: f64 = 13.0;
+/// Links of a daemon to the runners of all services.
+const ALL_LINKS: f64 = SUBSET * SERVICES;
 /// Links of a daemon to other daemons: 88 of its availability zone and 2 of each of 17 others.
 pub const PEERS: f64 = 122.0;
 /// Reads a second of a watcher: a waiting watch of 2 s, and the list of VMs twice a second.
@@ -83,32 +87,32 @@
     Ok(vec![
         Figure {
             role: entry,
-            what: "memory, with links to every runner",
-            from: "entry.links.memory at 10,000 + entry.accounts.memory × 3,200 + entry.rate.memory × 46.25",
-            value: memory(RUNNERS)?,
+            what: "memory, with links to 88 runners of each of 13 services and the whole register",
+            from: "entry.links.memory at 1,144 + entry.accounts.memory × 3,200 + entry.rate.memory × 46.25 + entry.accounts.memory / 2 × 10,000, for a client account is two items of the configuration and a runner one",
+            value: memory(ALL_LINKS)? + held,
             unit: "B",
             limit: Some(MEMORY_LIMIT),
         },
         Figure {
             role: entry,
-            what: "memory, with links to 64 runners and the whole register",
-            from: "entry.links.memory at 64 + entry.accounts.memory × 3,200 + entry.rate.memory × 46.25 + entry.accounts.memory / 2 × 10,000, for a client account is two items of the configuration and a runner one",
+            what: "memory, with links to 88 runners and the whole register",
+            from: "entry.links.memory at 88 + entry.accounts.memory × 3,200 + entry.rate.memory × 46.25 + entry.accounts.memory / 2 × 10,000, for a client account is two items of the configuration and a runner one",
             value: memory(SUBSET)? + held,
             unit: "B",
             limit: Some(MEMORY_LIMIT),
         },
         Figure {
             role: entry,
-            what: "control, with links to every runner",
-            from: "entry.links.control at 10,000",
-            value: line("entry.links.control")?.at(RUNNERS),
+            what: "control, with links to 88 runners of each of 13 services",
+            from: "entry.links.control at 1,144",
+            value: line("entry.links.control")?.at(ALL_LINKS),
             unit: "B/s",
             limit: Some(CONTROL_LIMIT),
         },
         Figure {
             role: entry,
-            what: "control, with links to 64 runners",
-            from: "entry.links.control at 64",
+            what: "control, with links to 88 runners",
+            from: "entry.links.control at 88",
             value: line("entry.links.control")?.at(SUBSET),
             unit: "B/s",
             limit: Some(CONTROL_LIMIT),
@@ -123,8 +127,8 @@
         },
         Figure {
             role: entry,
-            what: "control, with links to 64 runners and 122 daemons",
-            from: "entry.links.control at 64 + entry.daemons.control, slope × 122",
+            what: "control, with links to 88 runners and 122 daemons",
+            from: "entry.links.control at 88 + entry.daemons.control, slope × 122",
             value: line("entry.links.control")?.at(SUBSET)
                 + line("entry.daemons.control")?.slope * PEERS,
             unit: "B/s",
@@ -132,16 +136,16 @@
         },
         Figure {
             role: entry,
-            what: "processor time of control, with links to every runner",
-            from: "entry.links.cores at 10,000",
-            value: line("entry.links.cores")?.at(RUNNERS),
+            what: "processor time of control, with links to 88 runners of each of 13 services",
+            from: "entry.links.cores at 1,144",
+            value: line("entry.links.cores")?.at(ALL_LINKS),
             unit: "cores",
             limit: Some(CORE_LIMIT),
         },
         Figure {
             role: entry,
-            what: "processor time of control, with links to 64 runners",
-            from: "entry.links.cores at 64",
+            what: "processor time of control, with links to 88 runners",
+            from: "entry.links.cores at 88",
             value: line("entry.links.cores")?.at(SUBSET),
             unit: "cores",
             limit: Some(CORE_LIMIT),
