--- a/xtask/src/slopes/sample.rs
+++ b/xtask/src/slopes/sample.rs
@@ -45,7 +45,7 @@
     let limits: Vec<Value> = (0..accounts)
         .map(|a| {
             json!({"account": format!("account-{a:04}"), "rank": a % 4,
-                   "tokens_per_second": 10_000})
+                   "tokens_per_second": 10_000_000})
         })
         .collect();
     let value = json!({
