entry: accounts without demand are not told to other daemons

Ruled out: sending less often, since shares rest on hearing each peer within 4 s; an account that a frame leaves out counts as demand 0 instead.

--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -64,23 +64,21 @@
         self.lock().daemons = daemons;
     }
 
-    /// Takes in the demands of another daemon.
+    /// Takes in the demands of another daemon; accounts that it leaves out have none.
     pub fn learn(&self, demands: &link::Demands, now: Moment) {
         let Ok(peer) = demands.daemon.parse::<daemon::Id>() else {
             return;
         };
-        let mut state = self.lock();
-        for demand in &demands.demands {
-            let Ok(account) = demand.account.parse::<account::Id>() else {
-                continue;
-            };
-            if let Some(limit) = state.accounts.get_mut(&account) {
-                limit.learn(&peer, TokensPerSecond::new(demand.tokens_per_second), now);
-            }
+        let told: HashMap<&str, u64> =
+            demands.demands.iter().map(|d| (d.account.as_str(), d.tokens_per_second)).collect();
+        for (account, limit) in &mut self.lock().accounts {
+            let demand = told.get(account.as_str()).copied().unwrap_or_default();
+            limit.learn(&peer, TokensPerSecond::new(demand), now);
         }
     }
 
-    /// Returns the demands to tell the others, and makes the limits of accounts that are new.
+    /// Returns the demands above 0 to tell the others, and makes the limits of accounts that are
+    /// new.
     fn publish(&self, snapshot: &Snapshot, now: Moment) -> Vec<link::Demand> {
         let mut state = self.lock();
         let daemons = state.daemons;
@@ -92,7 +90,8 @@
             account: account.to_string(),
             tokens_per_second: limit.publish(now).get(),
         };
-        state.accounts.iter_mut().map(demand).collect()
+        let demands = state.accounts.iter_mut().map(demand);
+        demands.filter(|demand| demand.tokens_per_second > 0).collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -106,7 +105,7 @@
     while !daemon.stopped().is_cancelled() {
         ticks.tick().await;
         let demands = daemon.limits().publish(&daemon.snapshot(), daemon.now());
-        if !demands.is_empty() {
+        if daemon.snapshot().limits().next().is_some() {
             let daemon_id = daemon.settings().id.to_string();
             let frame = Body::Demands(link::Demands { daemon: daemon_id, demands });
             daemon.peers().send_to_all(&frame).await;
