entry, routing: drop functions that nothing calls

Cause: the routing tables took the place of the first choice of a runner, and Remote::outstanding and Remote::is_usable stayed behind; Limit::give_back was never called. Ruled out: sharing the derives of named enums and of newtypes between packages, which would tie packages together for boilerplate. Conclusion: behaviour is the same.

--- a/crates/entry/src/runners/remote.rs
+++ b/crates/entry/src/runners/remote.rs
@@ -62,17 +62,6 @@
         (state.load.clone(), state.load_at)
     }
 
-    /// Returns the number of attempts of this daemon that the runner has.
-    pub fn outstanding(&self) -> usize {
-        self.lock().waiting.len()
-    }
-
-    /// Tells whether the link is open and the runner takes work.
-    pub fn is_usable(&self) -> bool {
-        let state = self.lock();
-        state.sender.is_some() && !state.load.leaving
-    }
-
     /// Records an open link.
     pub fn connected(&self, sender: Sender, incarnation: u64, load: Load, now: Moment) {
         let mut state = self.lock();
--- a/crates/routing/src/account/limit.rs
+++ b/crates/routing/src/account/limit.rs
@@ -95,12 +95,6 @@
         Err(Refusal { retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER) })
     }
 
-    /// Gives back tokens that an admitted request did not use.
-    pub fn give_back(&mut self, tokens: Tokens, now: Moment) {
-        self.fill(now);
-        self.balance = (self.balance + tokens.get() as f64).min(self.burst(now));
-    }
-
     /// Returns the demand to tell the other daemons, about once a second.
     pub fn publish(&mut self, now: Moment) -> TokensPerSecond {
         let span = now.since(self.published).as_secs_f64();
