gateway, platform: the whole path on the users' platform, thin

Cause: the product had no way to run where the platform speaks its own HTTP on both sides. Ruled out: the entry daemon with links (needs a runner process on every side VM, a store call a request); poem and reqwest on the path (they hide how a connection ended).

--- /dev/null
+++ b/crates/gateway/src/config/mod.rs
@@ -0,0 +1,17 @@
+//! The accepted configuration: routes, services, client accounts and limits.
+
+mod limits;
+mod route;
+mod service;
+mod table;
+mod version;
+
+pub use limits::Limits;
+pub use route::Repeat;
+pub use route::Route;
+pub use route::Target;
+pub use service::Service;
+pub use table::Account;
+pub use table::Config;
+pub use table::Denied;
+pub use version::Version;
--- /dev/null
+++ b/crates/gateway/src/config/service.rs
@@ -0,0 +1,14 @@
+use kumquattiller_base::service;
+
+use crate::engine::Profile;
+
+/// A service of backend servers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: service::Name,
+    /// Connections that one server takes from all daemons together.
+    pub max_connections: u32,
+    /// How its engines work; none for a plain service.
+    pub engine: Option<Profile>,
+}
--- /dev/null
+++ b/crates/gateway/src/fleet/table.rs
@@ -0,0 +1,178 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use kumquattiller_base::runner;
+use kumquattiller_base::service;
+use kumquattiller_base::time::Moment;
+
+use crate::fleet::Server;
+use crate::fleet::Standing;
+
+/// How long after the store's return a registration that lapsed meanwhile may still come back.
+pub const RETURN_GRACE: Duration = Duration::from_secs(2);
+
+/// What a registration changed, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Change {
+    /// The server is new, or started again.
+    Joined,
+    /// The server leaves.
+    Leaving,
+    /// The registration is gone and the server with it.
+    Gone,
+    /// The registration lapsed while the store was away.
+    Lapsed,
+    /// Nothing that matters changed.
+    Same,
+}
+
+#[derive(Debug)]
+struct Member {
+    server: Server,
+    standing: Standing,
+}
+
+/// The backend servers that a daemon knows.
+#[derive(Debug, Default)]
+pub struct Table {
+    members: BTreeMap<runner::Id, Member>,
+    /// Starts of servers that peers saw leaving before this daemon did.
+    told_leaving: BTreeSet<u64>,
+    away: bool,
+    returned: Option<Moment>,
+}
+
+impl Table {
+    /// Notes that the store does not answer.
+    pub const fn store_lost(&mut self) {
+        self.away = true;
+    }
+
+    /// Notes that the store answers again.
+    pub const fn store_regained(&mut self, now: Moment) {
+        if self.away {
+            self.away = false;
+            self.returned = Some(now);
+        }
+    }
+
+    /// Takes in a registration.
+    pub fn put(&mut self, server: Server) -> Change {
+        let leaving = server.leaving || self.told_leaving.contains(&server.start_key());
+        let standing = if leaving { Standing::Leaving } else { Standing::Ready };
+        let old = self.members.get(&server.id);
+        let change = match old {
+            Some(old) if old.server.born_ms != server.born_ms => Change::Joined,
+            Some(old) if leaving && old.standing != Standing::Leaving => Change::Leaving,
+            Some(_) => Change::Same,
+            None => Change::Joined,
+        };
+        self.members.insert(server.id.clone(), Member { server, standing });
+        change
+    }
+
+    /// Takes in that a registration is gone.
+    pub fn remove(&mut self, id: &runner::Id, now: Moment) -> Change {
+        let until = self.lapse_end(now);
+        let Some(member) = self.members.get_mut(id) else {
+            return Change::Same;
+        };
+        if let (Some(until), Standing::Ready) = (until, member.standing) {
+            member.standing = Standing::Lapsed(until);
+            return Change::Lapsed;
+        }
+        self.members.remove(id);
+        Change::Gone
+    }
+
+    /// Takes in the whole list of registrations; returns what changed.
+    pub fn replace(&mut self, servers: Vec<Server>, now: Moment) -> Vec<(runner::Id, Change)> {
+        let listed: BTreeSet<runner::Id> = servers.iter().map(|s| s.id.clone()).collect();
+        let gone: Vec<runner::Id> =
+            self.members.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        let mut changes = Vec::new();
+        for id in gone {
+            let change = self.remove(&id, now);
+            changes.push((id, change));
+        }
+        for server in servers {
+            let id = server.id.clone();
+            let change = self.put(server);
+            changes.push((id, change));
+        }
+        changes.retain(|(_, change)| *change != Change::Same);
+        changes
+    }
+
+    /// Takes in the starts of servers that a peer saw leaving; returns the servers for which that
+    /// is new.
+    pub fn tell_leaving(&mut self, starts: &[u64]) -> Vec<runner::Id> {
+        let told: BTreeSet<u64> = starts.iter().copied().collect();
+        let mut new = Vec::new();
+        for member in self.members.values_mut() {
+            let key = member.server.start_key();
+            if told.contains(&key) && member.standing != Standing::Leaving {
+                member.standing = Standing::Leaving;
+                self.told_leaving.insert(key);
+                new.push(member.server.id.clone());
+            }
+        }
+        new
+    }
+
+    /// Returns the starts of servers that leave, for the peers.
+    pub fn leaving_keys(&self) -> Vec<u64> {
+        let leaves = |m: &&Member| m.standing == Standing::Leaving;
+        self.members.values().filter(leaves).map(|m| m.server.start_key()).collect()
+    }
+
+    /// Forgets the lapsed registrations that did not come back; returns their ids.
+    pub fn expire(&mut self, now: Moment) -> Vec<runner::Id> {
+        let over = |m: &Member| matches!(m.standing, Standing::Lapsed(until) if until <= now);
+        let gone: Vec<runner::Id> =
+            self.members.iter().filter(|(_, m)| over(m)).map(|(id, _)| id.clone()).collect();
+        for id in &gone {
+            self.members.remove(id);
+        }
+        let known: BTreeSet<u64> = self.members.values().map(|m| m.server.start_key()).collect();
+        self.told_leaving.retain(|key| known.contains(key));
+        gone
+    }
+
+    /// Returns the servers of a service that may get new work, in the order of their ids.
+    pub fn usable(&self, service: &service::Name) -> Vec<&Server> {
+        let fits = |m: &&Member| m.server.service == *service && m.standing != Standing::Leaving;
+        self.members.values().filter(fits).map(|m| &m.server).collect()
+    }
+
+    /// Returns the ids of all servers.
+    pub fn ids(&self) -> impl Iterator<Item = &runner::Id> {
+        self.members.keys()
+    }
+
+    /// Returns a server.
+    pub fn server(&self, id: &runner::Id) -> Option<&Server> {
+        self.members.get(id).map(|m| &m.server)
+    }
+
+    /// Returns how many servers are known.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Tells whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Returns until when a registration that vanishes now counts as lapsed, if it does.
+    fn lapse_end(&self, now: Moment) -> Option<Moment> {
+        if self.away {
+            return Some(now + RETURN_GRACE);
+        }
+        let end = self.returned? + RETURN_GRACE;
+        (now < end).then_some(end)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/http/admission.rs
@@ -0,0 +1,133 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header;
+use kumquattiller_base::account;
+use kumquattiller_base::attempt::Attempt;
+use kumquattiller_base::attempt::Unsent;
+use kumquattiller_base::error::Kind;
+use kumquattiller_base::fingerprint::Fingerprint;
+use kumquattiller_base::request;
+use kumquattiller_base::time::Moment;
+use tokio::time::timeout;
+
+use crate::Gateway;
+use crate::config::Account;
+use crate::config::Config;
+use crate::config::Denied;
+use crate::config::Route;
+use crate::dialect::Ask;
+use crate::http::Job;
+use crate::http::Refusal;
+use crate::stop::Phase;
+
+/// When to come again where this daemon has no configuration yet.
+const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
+/// When to come again where this daemon is stopping: at once, at another one.
+const STOPPING_RETRY: Duration = Duration::ZERO;
+/// When to come again where the configuration names a service without saying anything of it.
+const NO_SERVICE_RETRY: Duration = Duration::from_secs(1);
+
+/// Admits a request: finds its route and client account and reads its body.
+pub async fn admit(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    arrived: Moment,
+) -> Result<Job, (Ask, Refusal)> {
+    let (head, body) = request.into_parts();
+    let ask = gateway.dialect().ask(&head);
+    let fail = |kind| Err((ask.clone(), Refusal::denied(kind)));
+    let Some(config) = gateway.config() else {
+        return Err((ask, refuse(Kind::NoConfiguration, NO_CONFIGURATION_RETRY)));
+    };
+    if matches!(gateway.phase(), Phase::Finishing | Phase::Over) {
+        return Err((ask, refuse(Kind::Stopping, STOPPING_RETRY)));
+    }
+    let host = head.uri.host().or_else(|| head.headers.get(header::HOST)?.to_str().ok());
+    let (route, account) = match allow(&config, host, head.uri.path(), ask.key.as_deref()) {
+        Ok(allowed) => allowed,
+        Err(Denied::NoRoute) => return fail(Kind::NotFound),
+        Err(Denied::UnknownKey) => return fail(Kind::UnknownAccount),
+    };
+    let service = route.service(rand::random()).and_then(|name| config.service(name)).cloned();
+    let Some(service) = service else {
+        return Err((ask, refuse(Kind::NoRunner, NO_SERVICE_RETRY)));
+    };
+    let span = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+    let body = match read(body, &config, span).await {
+        Ok(body) => body,
+        Err(kind) => return Err((ask, Refusal::denied(kind))),
+    };
+    let fingerprint = fingerprint(account.as_ref().map(|a| &a.id), head.uri.path(), &body);
+    Ok(Job {
+        ask,
+        version: config.version(),
+        service,
+        rank: account.as_ref().and_then(|a| a.rank).unwrap_or(route.rank),
+        account: account.map(|a| a.id),
+        method: head.method,
+        route,
+        uri: target(&head.uri),
+        headers: head.headers,
+        body,
+        fingerprint,
+        arrived,
+        end: arrived + span,
+    })
+}
+
+/// Returns an attempt that nothing was sent for yet.
+pub fn attempt() -> Attempt<Unsent> {
+    Attempt::first(request::Id::from_u128(rand::random()))
+}
+
+fn refuse(kind: Kind, retry_after: Duration) -> Refusal {
+    match attempt().not_started() {
+        Some(proof) => Refusal::not_run(proof, kind, retry_after),
+        None => Refusal::maybe_run(kind),
+    }
+}
+
+fn allow(
+    config: &Config,
+    host: Option<&str>,
+    path: &str,
+    key: Option<&str>,
+) -> Result<(Rc<Route>, Option<Account>), Denied> {
+    let route = config.route(host.unwrap_or_default(), path)?;
+    let account = config.account(&route, key)?;
+    Ok((route, account))
+}
+
+/// Reads the whole body within the limits.
+async fn read(body: Incoming, config: &Config, span: Duration) -> Result<Bytes, Kind> {
+    let limit = config.limits().body.get() as usize;
+    match timeout(span, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Kind::BodyTooLarge),
+        Ok(Err(error)) => {
+            log::info!(target: "request", error:%; "a body broke off");
+            Err(Kind::MalformedBody)
+        }
+        Err(_) => Err(Kind::DeadlineExceeded),
+    }
+}
+
+fn fingerprint(account: Option<&account::Id>, path: &str, body: &[u8]) -> Fingerprint {
+    match account {
+        Some(account) => Fingerprint::of(account, path, body),
+        None => Fingerprint::new(u128::from(xxhash_rust::xxh3::xxh3_64(path.as_bytes()))),
+    }
+}
+
+/// Returns the path and query of a request, as it is sent on.
+fn target(uri: &hyper::Uri) -> hyper::Uri {
+    let path = uri.path_and_query().map_or("/", |p| p.as_str());
+    path.parse().unwrap_or_else(|_| uri.clone())
+}
--- /dev/null
+++ b/crates/gateway/src/http/answer.rs
@@ -0,0 +1,31 @@
+use hyper::StatusCode;
+
+use crate::dialect::Answer;
+
+/// What the head of an answer means for its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Verdict {
+    /// The request ran and this is its answer.
+    Success,
+    /// The request ran, or may have run, and failed.
+    Failure,
+    /// The server proves that the request did not run.
+    NotRun,
+    /// The answer belongs to another request, or no server has signed it.
+    Foreign,
+}
+
+/// Judges the head of an answer to the request with the id `request`.
+pub fn judge(request: &str, status: StatusCode, answer: &Answer) -> Verdict {
+    if answer.id.as_deref().is_some_and(|id| id != request) {
+        return Verdict::Foreign;
+    }
+    if answer.not_run {
+        return Verdict::NotRun;
+    }
+    if !status.is_success() {
+        return Verdict::Failure;
+    }
+    if answer.sealed && answer.id.is_some() { Verdict::Success } else { Verdict::Foreign }
+}
--- /dev/null
+++ b/crates/gateway/src/load/ledger.rs
@@ -0,0 +1,183 @@
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use kumquattiller_base::daemon;
+use kumquattiller_base::runner;
+use kumquattiller_base::time::Moment;
+
+use crate::load::Load;
+use crate::load::Work;
+use crate::load::key_of;
+
+/// How long what a peer said of its load counts.
+const PEER_LOAD_AGE: Duration = Duration::from_millis(600);
+/// Least part of the work of unread prompts that is taken as left until their first event shows
+/// that they are read.
+const UNREAD_FLOOR: f64 = 0.15;
+
+/// Names a request in the ledger.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key(u64);
+
+#[derive(Debug)]
+struct Entry {
+    works: Vec<Work>,
+    reading: bool,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Own {
+    /// When the server has read all that this daemon sent, if it reads nothing else.
+    read_until: Moment,
+    reading_ms: f64,
+    long_ms: f64,
+    requests: u32,
+    tight: u32,
+    memory: u64,
+}
+
+#[derive(Debug)]
+struct Peer {
+    at: Moment,
+    loads: HashMap<u64, Load>,
+}
+
+/// The requests in flight of this daemon, and what its peers say of theirs.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    next: u64,
+    entries: BTreeMap<Key, Entry>,
+    own: HashMap<runner::Id, Own>,
+    peers: HashMap<daemon::Id, Peer>,
+}
+
+impl Ledger {
+    /// Enters a request that is being sent; `works` names each server that takes part.
+    pub fn start(&mut self, works: Vec<Work>, now: Moment) -> Key {
+        let key = Key(self.next);
+        self.next += 1;
+        for work in &works {
+            let own = self.own.entry(work.server.clone()).or_default();
+            let span = Duration::from_secs_f64(work.read_ms / 1e3);
+            own.read_until = own.read_until.max(now) + span;
+            own.reading_ms += work.read_ms;
+            own.long_ms += if work.long { work.read_ms } else { 0.0 };
+            own.requests += u32::from(!work.helper);
+            own.memory += work.memory.get();
+        }
+        self.entries.insert(key, Entry { works, reading: true });
+        key
+    }
+
+    /// Notes that the first event of a request has come: its prompt is read.
+    pub fn read(&mut self, key: Key, now: Moment) {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return;
+        };
+        if !std::mem::take(&mut entry.reading) {
+            return;
+        }
+        for work in &entry.works {
+            finish_reading(&mut self.own, work, now);
+            if let Some(own) = self.own.get_mut(&work.server) {
+                own.tight += u32::from(work.tight && !work.helper);
+            }
+        }
+    }
+
+    /// Removes a request that has ended.
+    pub fn end(&mut self, key: Key, now: Moment) {
+        let Some(entry) = self.entries.remove(&key) else {
+            return;
+        };
+        for work in &entry.works {
+            if entry.reading {
+                finish_reading(&mut self.own, work, now);
+            }
+            let Some(own) = self.own.get_mut(&work.server) else {
+                continue;
+            };
+            own.requests -= u32::from(!work.helper);
+            own.memory -= work.memory.get();
+            own.tight -= u32::from(work.tight && !work.helper && !entry.reading);
+        }
+        self.own.retain(|_, own| own.requests > 0 || own.reading_ms > 0.0);
+    }
+
+    /// Takes in what a peer says of its own requests.
+    pub fn tell(&mut self, peer: daemon::Id, loads: HashMap<u64, Load>, now: Moment) {
+        self.peers.insert(peer, Peer { at: now, loads });
+    }
+
+    /// Forgets peers that have said nothing for long.
+    pub fn expire(&mut self, now: Moment) {
+        self.peers.retain(|_, peer| now.since(peer.at) <= PEER_LOAD_AGE);
+    }
+
+    /// Returns what this daemon has in flight at a server.
+    pub fn own(&self, server: &runner::Id, now: Moment) -> Load {
+        self.own.get(server).map(|own| own.load(now)).unwrap_or_default()
+    }
+
+    /// Returns what this daemon has in flight at all servers where it has something.
+    pub fn all_own(&self, now: Moment) -> impl Iterator<Item = (&runner::Id, Load)> {
+        self.own.iter().map(move |(id, own)| (id, own.load(now)))
+    }
+
+    /// Returns what all daemons have in flight at a server.
+    pub fn view(&self, server: &runner::Id, now: Moment) -> Load {
+        let key = key_of(server);
+        let fresh = self.peers.values().filter(|p| now.since(p.at) <= PEER_LOAD_AGE);
+        let told = fresh.filter_map(|p| p.loads.get(&key).map(|load| load.aged(now.since(p.at))));
+        told.fold(self.own(server, now), |sum, load| sum + load)
+    }
+
+    /// Returns the number of requests in flight here.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no request is in flight here.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+/// Takes a prompt off what a server has to read.
+fn finish_reading(own: &mut HashMap<runner::Id, Own>, work: &Work, now: Moment) {
+    let Some(own) = own.get_mut(&work.server) else {
+        return;
+    };
+    own.reading_ms = (own.reading_ms - work.read_ms).max(0.0);
+    own.long_ms -= if work.long { work.read_ms } else { 0.0 };
+    if own.reading_ms < 1e-6 {
+        own.reading_ms = 0.0;
+        own.long_ms = 0.0;
+        own.read_until = now;
+    }
+}
+
+impl Own {
+    fn load(&self, now: Moment) -> Load {
+        let planned = self.read_until.since(now).as_secs_f64() * 1e3;
+        let unread_ms = planned.min(self.reading_ms).max(self.reading_ms * UNREAD_FLOOR);
+        let long_share = if self.reading_ms > 0.0 { self.long_ms / self.reading_ms } else { 0.0 };
+        Load {
+            unread_ms,
+            long_ms: unread_ms * long_share.clamp(0.0, 1.0),
+            requests: self.requests,
+            tight: self.tight,
+            memory: self.memory,
+        }
+    }
+}
+
+impl Load {
+    /// Returns the load with the reading taken off that was done since it was told.
+    fn aged(self, age: Duration) -> Self {
+        let left = (self.unread_ms - age.as_secs_f64() * 1e3).max(self.unread_ms * UNREAD_FLOOR);
+        let part = if self.unread_ms > 0.0 { left / self.unread_ms } else { 0.0 };
+        Self { unread_ms: left, long_ms: self.long_ms * part, ..self }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/load/mod.rs
@@ -0,0 +1,11 @@
+//! What is in flight at each backend server, here and at the other daemons.
+
+mod entry;
+mod ledger;
+mod view;
+
+pub use entry::Work;
+pub use ledger::Key;
+pub use ledger::Ledger;
+pub use view::Load;
+pub use view::key_of;
--- /dev/null
+++ b/crates/gateway/src/observe/metrics.rs
@@ -0,0 +1,179 @@
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use kumquattiller_base::error;
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+use prometheus_client::registry::Unit;
+
+use crate::health::Outcome;
+
+/// Start of each family's name.
+const PREFIX: &str = "kumquattiller_gateway";
+/// Smallest bucket of a latency, in seconds; each next one is twice as large.
+const LATENCY_MIN_S: f64 = 0.005;
+/// Buckets of a latency.
+const LATENCY_BUCKETS: u16 = 13;
+
+/// One label with its value.
+type Label = [(&'static str, String); 1];
+
+/// The metric families of a gateway.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Counter,
+    refusals: Family<Label, Counter>,
+    sends: Family<Label, Counter>,
+    resends: Counter,
+    broken_off: Counter,
+    left: Counter,
+    connections: Counter,
+    answers: Family<Label, Histogram, fn() -> Histogram>,
+    first_event: Histogram,
+    version: Gauge<u64, AtomicU64>,
+    servers: Gauge,
+    peers: Gauge,
+    in_flight: Gauge,
+    store_calls: Family<Label, Counter>,
+}
+
+fn latency() -> Histogram {
+    Histogram::new(exponential_buckets(LATENCY_MIN_S, 2.0, LATENCY_BUCKETS))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix(PREFIX),
+            requests: Counter::default(),
+            refusals: Family::default(),
+            sends: Family::default(),
+            resends: Counter::default(),
+            broken_off: Counter::default(),
+            left: Counter::default(),
+            connections: Counter::default(),
+            answers: Family::new_with_constructor(latency),
+            first_event: latency(),
+            version: Gauge::default(),
+            servers: Gauge::default(),
+            peers: Gauge::default(),
+            in_flight: Gauge::default(),
+            store_calls: Family::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests that were admitted", self.requests.clone());
+        registry.register("refusals", "Requests refused, by kind", self.refusals.clone());
+        registry.register("sends", "Sends to servers, by outcome", self.sends.clone());
+        registry.register("resends", "Sends beyond the first", self.resends.clone());
+        registry.register("streams_broken", "Streams broken off", self.broken_off.clone());
+        registry.register("callers_left", "Streams whose caller left", self.left.clone());
+        registry.register("connections", "Connections opened", self.connections.clone());
+        registry.register_with_unit(
+            "answer",
+            "Time to the whole answer",
+            Unit::Seconds,
+            self.answers.clone(),
+        );
+        registry.register_with_unit(
+            "first_event",
+            "Time to a stream's first event",
+            Unit::Seconds,
+            self.first_event.clone(),
+        );
+        registry.register("config_version", "Configuration in force", self.version.clone());
+        registry.register("servers", "Backend servers known", self.servers.clone());
+        registry.register("peers", "Other daemons alive", self.peers.clone());
+        registry.register("in_flight", "Requests at servers", self.in_flight.clone());
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+    }
+
+    /// Counts an admitted request.
+    pub fn admitted(&self) {
+        self.requests.inc();
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, kind: error::Kind) {
+        self.refusals.get_or_create(&[("kind", kind.to_string())]).inc();
+    }
+
+    /// Counts a send that has ended.
+    pub fn sent(&self, outcome: Outcome) {
+        self.sends.get_or_create(&[("outcome", outcome.to_string())]).inc();
+    }
+
+    /// Counts a send beyond the first.
+    pub fn resent(&self) {
+        self.resends.inc();
+    }
+
+    /// Counts a stream that could not be finished.
+    pub fn broken_off(&self) {
+        self.broken_off.inc();
+    }
+
+    /// Counts a stream whose caller left.
+    pub fn left(&self) {
+        self.left.inc();
+    }
+
+    /// Counts a new connection to a server.
+    pub fn connection_opened(&self) {
+        self.connections.inc();
+    }
+
+    /// Observes the time to a whole answer.
+    pub fn answered(&self, streaming: bool, time: Duration) {
+        let kind = if streaming { "stream" } else { "plain" };
+        self.answers.get_or_create(&[("kind", kind.to_owned())]).observe(time.as_secs_f64());
+    }
+
+    /// Observes the time to a first event.
+    pub fn first_event(&self, time: Duration) {
+        self.first_event.observe(time.as_secs_f64());
+    }
+
+    /// Counts a call to the store by its outcome.
+    pub fn store_call(&self, outcome: &str) {
+        self.store_calls.get_or_create(&[("outcome", outcome.to_owned())]).inc();
+    }
+
+    /// Returns all families as text, with the present state of the gateway.
+    pub fn encode(&self, state: State) -> String {
+        self.version.set(state.version);
+        self.servers.set(state.servers as i64);
+        self.peers.set(state.peers as i64);
+        self.in_flight.set(state.in_flight as i64);
+        let mut text = String::new();
+        match text::encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+}
+
+/// The figures of a gateway that are read when its metrics are asked for.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct State {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Backend servers that are known.
+    pub servers: usize,
+    /// Peers that are alive.
+    pub peers: usize,
+    /// Requests at servers.
+    pub in_flight: usize,
+}
--- /dev/null
+++ b/crates/gateway/src/observe/mod.rs
@@ -0,0 +1,8 @@
+//! Logs and metrics of a process.
+
+mod log;
+mod metrics;
+
+pub use log::init;
+pub use metrics::Metrics;
+pub use metrics::State;
--- /dev/null
+++ b/crates/gateway/src/peer/exchange.rs
@@ -0,0 +1,126 @@
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kumquattiller_base::fingerprint::Fingerprint;
+use log::warn;
+use prost::Message;
+use tokio::net::UdpSocket;
+
+use crate::Gateway;
+use crate::load::key_of;
+use crate::peer::Count;
+use crate::peer::Load;
+use crate::peer::Report;
+use crate::peer::fetch;
+
+/// Shortest time between two reports of a daemon.
+const LEAST_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest time between two reports of a daemon.
+const MOST_INTERVAL: Duration = Duration::from_millis(250);
+/// Added to the interval for each peer, so that reports that arrive stay about as many.
+const INTERVAL_PER_PEER: Duration = Duration::from_millis(10);
+/// Most bytes of a datagram.
+const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+/// Most suspects in a report.
+const MAX_SUSPECTS: usize = 16;
+
+/// Sends and takes in reports until the process ends.
+///
+/// # Errors
+///
+/// Fails when the socket cannot be bound.
+pub async fn run(gateway: Rc<Gateway>) -> io::Result<()> {
+    let socket = UdpSocket::bind(gateway.settings().peer).await?;
+    let incarnation = rand::random();
+    let mut sequence = 0;
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut next = tokio::time::Instant::now();
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => take(&gateway, &buffer[..length], from),
+                Err(error) => warn!(target: "peer", error:%; "a datagram could not be received"),
+            },
+            () = tokio::time::sleep_until(next) => {
+                sequence += 1;
+                send(&gateway, &socket, incarnation, sequence).await;
+                next = tokio::time::Instant::now() + interval(&gateway);
+            }
+        }
+    }
+}
+
+fn interval(gateway: &Gateway) -> Duration {
+    let peers = gateway.peers().borrow().len() as u32;
+    (INTERVAL_PER_PEER * peers).clamp(LEAST_INTERVAL, MOST_INTERVAL)
+}
+
+async fn send(gateway: &Gateway, socket: &UdpSocket, incarnation: u64, sequence: u64) {
+    let due = gateway.peers().borrow_mut().due(gateway.now());
+    if due.is_empty() {
+        return;
+    }
+    let report = report(gateway, incarnation, sequence).encode_to_vec();
+    for address in due {
+        // A datagram that is not sent is like one that is lost on the way.
+        if let Err(error) = socket.try_send_to(&report, address) {
+            log::debug!(target: "peer", error:%, address:%; "a report was not sent");
+        }
+    }
+}
+
+fn report(gateway: &Gateway, incarnation: u64, sequence: u64) -> Report {
+    let now = gateway.now();
+    let ledger = gateway.ledger().borrow();
+    let loads = ledger.all_own(now).map(|(id, load)| Load::of(key_of(id), &load)).collect();
+    let suspects = gateway.suspects().borrow().counts(MAX_SUSPECTS);
+    Report {
+        daemon: gateway.settings().name.to_string(),
+        sequence,
+        incarnation,
+        version: gateway.version().get(),
+        loads,
+        leaving: gateway.fleet().borrow().leaving_keys(),
+        suspects: suspects.into_iter().map(|(f, deaths)| count(f, deaths)).collect(),
+    }
+}
+
+fn count(fingerprint: Fingerprint, deaths: u32) -> Count {
+    let value = fingerprint.get();
+    Count { high: (value >> 64) as u64, low: value as u64, deaths }
+}
+
+/// Takes in a datagram.
+fn take(gateway: &Rc<Gateway>, bytes: &[u8], from: SocketAddr) {
+    let report = match Report::decode(bytes) {
+        Ok(report) => report,
+        Err(error) => {
+            warn!(target: "peer", error:%, from:%; "a datagram is not a report");
+            return;
+        }
+    };
+    let Ok(id) = report.daemon.parse() else {
+        warn!(target: "peer", from:%; "a report names no daemon");
+        return;
+    };
+    let now = gateway.now();
+    let fresh =
+        gateway.peers().borrow_mut().hear(&id, from, report.incarnation, report.sequence, now);
+    if !fresh {
+        return;
+    }
+    let loads = report.loads.iter().map(|load| (load.server, load.into())).collect();
+    gateway.ledger().borrow_mut().tell(id, loads, now);
+    for count in &report.suspects {
+        let value = (u128::from(count.high) << 64) | u128::from(count.low);
+        gateway.suspects().borrow_mut().tell(Fingerprint::new(value), count.deaths, now);
+    }
+    for id in gateway.fleet().borrow_mut().tell_leaving(&report.leaving) {
+        log::info!(target: "fleet", server:% = id, from:%; "a peer saw the server leave");
+    }
+    if report.version > gateway.version().get() {
+        fetch::start(gateway, from);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer/message.rs
@@ -0,0 +1,99 @@
+/// What a daemon tells of one server.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Load {
+    /// Short form of the server's id.
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    /// Unread prompts, in milliseconds of reading.
+    #[prost(uint32, tag = "2")]
+    pub unread_ms: u32,
+    /// The part of it that belongs to long prompts, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub long_ms: u32,
+    /// Requests in flight.
+    #[prost(uint32, tag = "4")]
+    pub requests: u32,
+    /// Streams that have begun and allow only short pauses.
+    #[prost(uint32, tag = "5")]
+    pub tight: u32,
+    /// Tokens held in the engine's memory.
+    #[prost(uint64, tag = "6")]
+    pub memory: u64,
+}
+
+/// How many servers a request broke.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Count {
+    /// The upper half of the request's fingerprint.
+    #[prost(fixed64, tag = "1")]
+    pub high: u64,
+    /// The lower half.
+    #[prost(fixed64, tag = "2")]
+    pub low: u64,
+    /// Servers.
+    #[prost(uint32, tag = "3")]
+    pub deaths: u32,
+}
+
+/// What a daemon tells its peers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Report {
+    /// Name of the daemon.
+    #[prost(string, tag = "1")]
+    pub daemon: String,
+    /// Counts the daemon's reports; a datagram with a lower number came late.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// Tells starts of the daemon apart.
+    #[prost(fixed64, tag = "3")]
+    pub incarnation: u64,
+    /// Version of its configuration; 0 for none.
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
+    /// What it has in flight.
+    #[prost(message, repeated, tag = "5")]
+    pub loads: Vec<Load>,
+    /// Short forms of servers that it saw leaving, each with its start.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub leaving: Vec<u64>,
+    /// Requests that broke servers.
+    #[prost(message, repeated, tag = "7")]
+    pub suspects: Vec<Count>,
+}
+
+/// A configuration that a daemon hands to a peer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Document {
+    /// Its version; 0 for none.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The document as the store holds it.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: bytes::Bytes,
+}
+
+impl Load {
+    /// Describes what this daemon has in flight at a server.
+    pub fn of(server: u64, load: &crate::load::Load) -> Self {
+        Self {
+            server,
+            unread_ms: load.unread_ms as u32,
+            long_ms: load.long_ms as u32,
+            requests: load.requests,
+            tight: load.tight,
+            memory: load.memory,
+        }
+    }
+}
+
+impl From<&Load> for crate::load::Load {
+    fn from(load: &Load) -> Self {
+        Self {
+            unread_ms: f64::from(load.unread_ms),
+            long_ms: f64::from(load.long_ms),
+            requests: load.requests,
+            tight: load.tight,
+            memory: load.memory,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/placement/division.rs
@@ -0,0 +1,44 @@
+use crate::placement::Candidate;
+
+/// Unread long work that one server of the long division takes, in milliseconds. A smaller value
+/// moves the division sooner and farther.
+const LONG_WORK_PER_SERVER_MS: f64 = 400.0;
+/// Part of a server's slots that streams with short pauses fill at most when the division moves.
+const SHORT_SLOT_PART: f64 = 0.7;
+
+/// The servers of a service, divided between long and short prompts.
+///
+/// Reading a long prompt beside a stream with short pauses makes that stream late. The load turns
+/// between mostly short and mostly long prompts within seconds, so the division follows the unread
+/// long work at each placement instead of a fixed share.
+#[derive(Debug, Clone)]
+pub struct Division<'a> {
+    /// Servers for long prompts.
+    pub long: Vec<&'a Candidate>,
+    /// Servers for short prompts.
+    pub short: Vec<&'a Candidate>,
+}
+
+impl<'a> Division<'a> {
+    /// Divides the servers; `extra_long_ms` is long work that is about to be added.
+    pub fn of(candidates: &'a [Candidate], extra_long_ms: f64) -> Self {
+        let mut ranked: Vec<&Candidate> = candidates.iter().collect();
+        ranked.sort_by_key(|c| c.rank);
+        let long_ms: f64 = extra_long_ms + ranked.iter().map(|c| c.load.long_ms).sum::<f64>();
+        let wanted = (long_ms / LONG_WORK_PER_SERVER_MS).ceil() as usize;
+        let most = ranked.len() - short_need(&ranked).min(ranked.len());
+        let short = ranked.split_off(wanted.min(most));
+        Self { long: ranked, short }
+    }
+}
+
+/// Returns how many servers the streams with short pauses need, one at least where there are two.
+fn short_need(candidates: &[&Candidate]) -> usize {
+    if candidates.len() < 2 {
+        return 0;
+    }
+    let tight: u32 = candidates.iter().map(|c| c.load.tight).sum();
+    let slots: u32 = candidates.iter().map(|c| c.slots).sum();
+    let room = f64::from(slots) / candidates.len() as f64 * SHORT_SLOT_PART;
+    ((f64::from(tight) / room.max(1.0)).ceil() as usize).clamp(1, candidates.len() - 1)
+}
--- /dev/null
+++ b/crates/gateway/src/placement/mod.rs
@@ -0,0 +1,15 @@
+//! Which server gets a request, and which ones read its prompt along.
+
+mod candidate;
+mod division;
+mod plain;
+mod plan;
+mod prompt;
+
+pub use candidate::Candidate;
+pub use division::Division;
+pub use plain::place_plain;
+pub use plan::Placement;
+pub use plan::Reason;
+pub use prompt::is_long;
+pub use prompt::place_prompt;
--- /dev/null
+++ b/crates/gateway/src/placement/plan.rs
@@ -0,0 +1,28 @@
+use kumquattiller_base::runner;
+
+/// Why a server was chosen, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// It has the fewest requests for its slots.
+    FewestRequests,
+    /// It has the least to read among the servers for short prompts.
+    ShortDivision,
+    /// It is among the servers for long prompts.
+    LongDivision,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placement {
+    /// The server that runs it.
+    pub server: runner::Id,
+    /// Servers that read a part of its prompt.
+    pub helpers: Vec<runner::Id>,
+    /// Time to read the part of each server, in milliseconds.
+    pub part_ms: f64,
+    /// Expected time until the prompt is read, in milliseconds.
+    pub first_ms: f64,
+    /// Why.
+    pub reason: Reason,
+}
--- /dev/null
+++ b/crates/gateway/src/stop/mod.rs
@@ -0,0 +1,64 @@
+//! Phases of a graceful stop.
+//!
+//! A balancer notices only after some failed checks that a daemon is not ready, and callers keep
+//! their connections. So a stopping daemon first goes on taking requests and closes each
+//! connection with its answer, then refuses new ones, and ends when the last answer is out or the
+//! grace is over.
+
+use std::time::Duration;
+
+use kumquattiller_base::time::Moment;
+
+/// How long a stopping daemon goes on taking requests: two missed checks a second apart and their
+/// delays.
+pub const NOTICE: Duration = Duration::from_millis(2_600);
+/// Time kept back from the grace for the end of the process.
+pub const EXIT_RESERVE: Duration = Duration::from_millis(250);
+
+/// How often a stopping daemon looks whether it may end.
+pub const INTERVAL: Duration = Duration::from_millis(50);
+
+/// What a daemon does with requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Phase {
+    /// It takes them.
+    Serving,
+    /// It takes them, is not ready, and closes each connection with its answer.
+    Noticing,
+    /// It refuses new ones and finishes those that it has.
+    Finishing,
+    /// The grace is over.
+    Over,
+}
+
+/// The state of a daemon's stop.
+#[derive(Debug, Clone, Copy)]
+pub struct Stop {
+    asked: Option<Moment>,
+    grace: Duration,
+}
+
+impl Stop {
+    /// Creates the state of a daemon that is not stopping.
+    pub const fn new(grace: Duration) -> Self {
+        Self { asked: None, grace }
+    }
+
+    /// Begins the stop; a second call changes nothing.
+    pub fn ask(&mut self, now: Moment) {
+        self.asked.get_or_insert(now);
+    }
+
+    /// Returns the phase.
+    pub fn phase(&self, now: Moment) -> Phase {
+        let Some(asked) = self.asked else {
+            return Phase::Serving;
+        };
+        let since = now.since(asked);
+        if since < NOTICE {
+            return Phase::Noticing;
+        }
+        if since + EXIT_RESERVE < self.grace { Phase::Finishing } else { Phase::Over }
+    }
+}
