--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -272,6 +272,11 @@
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(job.service.name.clone()).or_default();
         budget.request(self.now(), &self.settings.budget);
+        if let (Some(profile), Some(prompt)) = (&job.service.engine, &job.ask.prompt) {
+            let long = is_long(prompt, profile);
+            let long_ms = if long { profile.read_ms(prompt.tokens) } else { 0.0 };
+            self.ledger.borrow_mut().count(long_ms, !long, self.now());
+        }
     }
 
     /// Takes one resend from the retry budget; returns false when none is left.
@@ -302,7 +307,10 @@
         let now = self.now();
         let candidates = self.candidates(job, tried, now);
         match (&job.service.engine, &job.ask.prompt) {
-            (Some(profile), Some(prompt)) => place_prompt(prompt, profile, &candidates),
+            (Some(profile), Some(prompt)) => {
+                let demand = self.ledger.borrow().demand(now);
+                place_prompt(prompt, profile, &candidates, &demand)
+            }
             _ => place_plain(&candidates, rand::random()),
         }
     }
--- a/crates/gateway/src/load/ledger.rs
+++ b/crates/gateway/src/load/ledger.rs
@@ -6,7 +6,9 @@
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
 
+use crate::load::Demand;
 use crate::load::Load;
+use crate::load::Meter;
 use crate::load::Work;
 use crate::load::key_of;
 
@@ -34,12 +36,14 @@
     long_ms: f64,
     requests: u32,
     tight: u32,
+    loose: u32,
     memory: u64,
 }
 
 #[derive(Debug)]
 struct Peer {
     at: Moment,
+    demand: Demand,
     loads: HashMap<u64, Load>,
 }
 
@@ -50,6 +54,7 @@
     entries: BTreeMap<Key, Entry>,
     own: HashMap<runner::Id, Own>,
     peers: HashMap<daemon::Id, Peer>,
+    meter: Meter,
 }
 
 impl Ledger {
@@ -82,6 +87,7 @@
             finish_reading(&mut self.own, work, now);
             if let Some(own) = self.own.get_mut(&work.server) {
                 own.tight += u32::from(work.tight && !work.helper);
+                own.loose += u32::from(!work.tight && !work.helper);
             }
         }
     }
@@ -101,13 +107,35 @@
             own.requests -= u32::from(!work.helper);
             own.memory -= work.memory.get();
             own.tight -= u32::from(work.tight && !work.helper && !entry.reading);
+            own.loose -= u32::from(!work.tight && !work.helper && !entry.reading);
         }
         self.own.retain(|_, own| own.requests > 0 || own.reading_ms > 0.0);
     }
 
     /// Takes in what a peer says of its own requests.
-    pub fn tell(&mut self, peer: daemon::Id, loads: HashMap<u64, Load>, now: Moment) {
-        self.peers.insert(peer, Peer { at: now, loads });
+    pub fn tell(
+        &mut self,
+        peer: daemon::Id,
+        demand: Demand,
+        loads: HashMap<u64, Load>,
+        now: Moment,
+    ) {
+        self.peers.insert(peer, Peer { at: now, demand, loads });
+    }
+
+    /// Counts a request that came to this daemon.
+    pub fn count(&mut self, long_ms: f64, short: bool, now: Moment) {
+        self.meter.count(long_ms, short, now);
+    }
+
+    /// Returns what callers ask of this daemon.
+    pub fn own_demand(&self, now: Moment) -> Demand {
+        self.meter.read(now)
+    }
+
+    /// Returns what callers ask of all daemons.
+    pub fn demand(&self, now: Moment) -> Demand {
+        self.peers.values().fold(self.meter.read(now), |sum, peer| sum + peer.demand)
     }
 
     /// Forgets peers that have said nothing for long.
@@ -168,6 +196,7 @@
             long_ms: unread_ms * long_share.clamp(0.0, 1.0),
             requests: self.requests,
             tight: self.tight,
+            loose: self.loose,
             memory: self.memory,
         }
     }
--- a/crates/gateway/src/load/mod.rs
+++ b/crates/gateway/src/load/mod.rs
@@ -1,9 +1,12 @@
 //! What is in flight at each backend server, here and at the other daemons.
 
+mod demand;
 mod entry;
 mod ledger;
 mod view;
 
+pub use demand::Demand;
+pub use demand::Meter;
 pub use entry::Work;
 pub use ledger::Key;
 pub use ledger::Ledger;
--- a/crates/gateway/src/load/view.rs
+++ b/crates/gateway/src/load/view.rs
@@ -12,6 +12,8 @@
     pub requests: u32,
     /// Streams among them that have begun and allow only short pauses.
     pub tight: u32,
+    /// Streams among them that have begun and allow longer pauses.
+    pub loose: u32,
     /// Tokens that they hold in the engine's memory.
     pub memory: u64,
 }
@@ -25,6 +27,7 @@
             long_ms: self.long_ms + other.long_ms,
             requests: self.requests + other.requests,
             tight: self.tight + other.tight,
+            loose: self.loose + other.loose,
             memory: self.memory + other.memory,
         }
     }
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -9,6 +9,7 @@
 use tokio::net::UdpSocket;
 
 use crate::Gateway;
+use crate::load::Demand;
 use crate::load::key_of;
 use crate::peer::Count;
 use crate::peer::Load;
@@ -76,7 +77,10 @@
     let ledger = gateway.ledger().borrow();
     let loads = ledger.all_own(now).map(|(id, load)| Load::of(key_of(id), &load)).collect();
     let suspects = gateway.suspects().borrow().counts(MAX_SUSPECTS);
+    let demand = ledger.own_demand(now);
     Report {
+        demand_long_ms: demand.long_ms as f32,
+        demand_short: demand.short as f32,
         daemon: gateway.settings().name.to_string(),
         sequence,
         incarnation,
@@ -112,7 +116,9 @@
         return;
     }
     let loads = report.loads.iter().map(|load| (load.server, load.into())).collect();
-    gateway.ledger().borrow_mut().tell(id, loads, now);
+    let demand =
+        Demand { long_ms: f64::from(report.demand_long_ms), short: f64::from(report.demand_short) };
+    gateway.ledger().borrow_mut().tell(id, demand, loads, now);
     for count in &report.suspects {
         let value = (u128::from(count.high) << 64) | u128::from(count.low);
         gateway.suspects().borrow_mut().tell(Fingerprint::new(value), count.deaths, now);
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -19,6 +19,9 @@
     /// Tokens held in the engine's memory.
     #[prost(uint64, tag = "6")]
     pub memory: u64,
+    /// Streams that have begun and allow longer pauses.
+    #[prost(uint32, tag = "7")]
+    pub loose: u32,
 }
 
 /// How many servers a request broke.
@@ -59,6 +62,12 @@
     /// Requests that broke servers.
     #[prost(message, repeated, tag = "7")]
     pub suspects: Vec<Count>,
+    /// Reading of long prompts that callers ask of it, in milliseconds a second.
+    #[prost(float, tag = "8")]
+    pub demand_long_ms: f32,
+    /// Streams with short pauses that callers ask of it, a second.
+    #[prost(float, tag = "9")]
+    pub demand_short: f32,
 }
 
 /// A configuration that a daemon hands to a peer.
@@ -82,6 +91,7 @@
             requests: load.requests,
             tight: load.tight,
             memory: load.memory,
+            loose: load.loose,
         }
     }
 }
@@ -94,6 +104,7 @@
             requests: load.requests,
             tight: load.tight,
             memory: load.memory,
+            loose: load.loose,
         }
     }
 }
--- a/crates/gateway/src/placement/division.rs
+++ b/crates/gateway/src/placement/division.rs
@@ -1,10 +1,17 @@
+use crate::load::Demand;
 use crate::placement::Candidate;
 
 /// Unread long work that one server of the long division takes, in milliseconds. A smaller value
 /// moves the division sooner and farther.
 const LONG_WORK_PER_SERVER_MS: f64 = 400.0;
+/// Part of their time that the servers for long prompts spend reading.
+const LONG_READING_PART: f64 = 0.8;
+/// Milliseconds of work that a server can do in a second.
+const SERVER_MS: f64 = 1_000.0;
 /// Part of a server's slots that streams with short pauses fill at most when the division moves.
 const SHORT_SLOT_PART: f64 = 0.7;
+/// Usual time from the arrival of a short prompt to the end of its stream.
+const SHORT_STREAM_S: f64 = 1.2;
 
 /// The servers of a service, divided between long and short prompts.
 ///
@@ -21,24 +28,27 @@
 
 impl<'a> Division<'a> {
     /// Divides the servers; `extra_long_ms` is long work that is about to be added.
-    pub fn of(candidates: &'a [Candidate], extra_long_ms: f64) -> Self {
+    pub fn of(candidates: &'a [Candidate], demand: &Demand, extra_long_ms: f64) -> Self {
         let mut ranked: Vec<&Candidate> = candidates.iter().collect();
         ranked.sort_by_key(|c| c.rank);
         let long_ms: f64 = extra_long_ms + ranked.iter().map(|c| c.load.long_ms).sum::<f64>();
-        let wanted = (long_ms / LONG_WORK_PER_SERVER_MS).ceil() as usize;
-        let most = ranked.len() - short_need(&ranked).min(ranked.len());
+        let backlog = (long_ms / LONG_WORK_PER_SERVER_MS).ceil();
+        let steady = (demand.long_ms / SERVER_MS / LONG_READING_PART).ceil();
+        let wanted = backlog.max(steady) as usize;
+        let most = ranked.len() - short_need(&ranked, demand).min(ranked.len());
         let short = ranked.split_off(wanted.min(most));
         Self { long: ranked, short }
     }
 }
 
 /// Returns how many servers the streams with short pauses need, one at least where there are two.
-fn short_need(candidates: &[&Candidate]) -> usize {
+fn short_need(candidates: &[&Candidate], demand: &Demand) -> usize {
     if candidates.len() < 2 {
         return 0;
     }
     let tight: u32 = candidates.iter().map(|c| c.load.tight).sum();
     let slots: u32 = candidates.iter().map(|c| c.slots).sum();
     let room = f64::from(slots) / candidates.len() as f64 * SHORT_SLOT_PART;
-    ((f64::from(tight) / room.max(1.0)).ceil() as usize).clamp(1, candidates.len() - 1)
+    let streams = f64::from(tight).max(demand.short * SHORT_STREAM_S);
+    ((streams / room.max(1.0)).ceil() as usize).clamp(1, candidates.len() - 1)
 }
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::Prompt;
 use crate::engine::Profile;
+use crate::load::Demand;
 use crate::placement::Candidate;
 use crate::placement::Division;
 use crate::placement::Placement;
@@ -35,13 +36,14 @@
     prompt: &Prompt,
     profile: &Profile,
     candidates: &[Candidate],
+    demand: &Demand,
 ) -> Option<Placement> {
     let read_ms = profile.read_ms(prompt.tokens);
     let memory = prompt.tokens.saturating_add(prompt.answer);
     if read_ms <= LONG_READ_MS {
-        return place_short(read_ms, memory, profile, candidates);
+        return place_short(read_ms, memory, profile, candidates, demand);
     }
-    place_long(read_ms, memory, profile, candidates)
+    place_long(read_ms, memory, profile, candidates, demand)
 }
 
 fn place_short(
@@ -49,8 +51,9 @@
     memory: Tokens,
     profile: &Profile,
     candidates: &[Candidate],
+    demand: &Demand,
 ) -> Option<Placement> {
-    let division = Division::of(candidates, 0.0);
+    let division = Division::of(candidates, demand, 0.0);
     let group = if division.short.is_empty() { &division.long } else { &division.short };
     let chosen = cheapest(group, memory, profile)?;
     Some(Placement {
@@ -67,8 +70,9 @@
     memory: Tokens,
     profile: &Profile,
     candidates: &[Candidate],
+    demand: &Demand,
 ) -> Option<Placement> {
-    let division = Division::of(candidates, read_ms);
+    let division = Division::of(candidates, demand, read_ms);
     let mut group = if division.long.is_empty() { division.short } else { division.long };
     group.sort_by(|a, b| cost(a, memory, profile).total_cmp(&cost(b, memory, profile)));
     let parts = ((read_ms / PART_MS).ceil() as usize).clamp(1, MAX_HELPERS + 1).min(group.len());
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -1,4 +1,5 @@
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream;
@@ -58,6 +59,8 @@
     sends: u32,
     first: Option<Moment>,
     last: Moment,
+    /// Longest pause between events so far.
+    longest_gap: Duration,
     ended: bool,
 }
 
@@ -79,6 +82,7 @@
         sends: 1,
         first: None,
         last,
+        longest_gap: Duration::ZERO,
         ended: false,
     };
     let events = stream::unfold(relay, async |mut relay| {
@@ -129,7 +133,11 @@
 
     /// Takes in bytes; returns the whole events that they complete.
     fn take(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        self.last = self.gateway.now();
+        let now = self.gateway.now();
+        if self.first.is_some() {
+            self.longest_gap = self.longest_gap.max(now.since(self.last));
+        }
+        self.last = now;
         let part = self.part.as_ref()?;
         part.flight.read();
         let events = match self.splitter.push(bytes) {
@@ -156,6 +164,15 @@
             return;
         };
         part.flight.done(hyper::StatusCode::OK);
+        let first = self.first.unwrap_or(self.last);
+        info!(
+            target: "request", id = self.job.ask.id, route = self.job.route.name,
+            first_ms = first.since(self.job.arrived).as_millis() as u64,
+            aim_ms = self.job.route.aim.as_millis() as u64,
+            longest_gap_ms = self.longest_gap.as_millis() as u64,
+            good_gap_ms = self.job.route.gap.as_millis() as u64, sends = self.sends;
+            "stream complete"
+        );
         self.gateway.suspects().borrow_mut().clear(self.job.fingerprint);
         self.gateway.pool().put(part.connection, part.answer.keep_alive, self.gateway.now());
     }
