--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,7 @@
 use crate::peer::Document;
 use crate::placement::Candidate;
 use crate::placement::Placement;
+use crate::placement::Request;
 use crate::placement::is_long;
 use crate::placement::place_plain;
 use crate::placement::place_prompt;
@@ -309,7 +310,8 @@
         match (&job.service.engine, &job.ask.prompt) {
             (Some(profile), Some(prompt)) => {
                 let demand = self.ledger.borrow().demand(now);
-                place_prompt(prompt, profile, &candidates, &demand)
+                let request = Request { prompt, aim: job.route.aim, profile };
+                place_prompt(&request, &candidates, &demand)
             }
             _ => place_plain(&candidates, rand::random()),
         }
--- a/crates/gateway/src/placement/division.rs
+++ b/crates/gateway/src/placement/division.rs
@@ -1,40 +1,34 @@
 use crate::load::Demand;
 use crate::placement::Candidate;
 
-/// Unread long work that one server of the long division takes, in milliseconds. A smaller value
-/// moves the division sooner and farther.
-const LONG_WORK_PER_SERVER_MS: f64 = 400.0;
 /// Part of their time that the servers for long prompts spend reading.
 const LONG_READING_PART: f64 = 0.8;
 /// Milliseconds of work that a server can do in a second.
 const SERVER_MS: f64 = 1_000.0;
 /// Part of a server's slots that streams with short pauses fill at most when the division moves.
 const SHORT_SLOT_PART: f64 = 0.7;
-/// Usual time from the arrival of a short prompt to the end of its stream.
+/// Usual time from the arrival of a short prompt to the end of its stream, in seconds.
 const SHORT_STREAM_S: f64 = 1.2;
 
 /// The servers of a service, divided between long and short prompts.
 ///
 /// Reading a long prompt beside a stream with short pauses makes that stream late. The load turns
-/// between mostly short and mostly long prompts within seconds, so the division follows the unread
-/// long work at each placement instead of a fixed share.
+/// between mostly short and mostly long prompts within seconds, so the division follows the rates
+/// of both instead of a fixed share.
 #[derive(Debug, Clone)]
 pub struct Division<'a> {
-    /// Servers for long prompts.
+    /// Servers for long prompts, first those that are taken first.
     pub long: Vec<&'a Candidate>,
     /// Servers for short prompts.
     pub short: Vec<&'a Candidate>,
 }
 
 impl<'a> Division<'a> {
-    /// Divides the servers; `extra_long_ms` is long work that is about to be added.
-    pub fn of(candidates: &'a [Candidate], demand: &Demand, extra_long_ms: f64) -> Self {
+    /// Divides the servers.
+    pub fn of(candidates: &'a [Candidate], demand: &Demand) -> Self {
         let mut ranked: Vec<&Candidate> = candidates.iter().collect();
         ranked.sort_by_key(|c| c.rank);
-        let long_ms: f64 = extra_long_ms + ranked.iter().map(|c| c.load.long_ms).sum::<f64>();
-        let backlog = (long_ms / LONG_WORK_PER_SERVER_MS).ceil();
-        let steady = (demand.long_ms / SERVER_MS / LONG_READING_PART).ceil();
-        let wanted = backlog.max(steady) as usize;
+        let wanted = (demand.long_ms / SERVER_MS / LONG_READING_PART).ceil() as usize;
         let most = ranked.len() - short_need(&ranked, demand).min(ranked.len());
         let short = ranked.split_off(wanted.min(most));
         Self { long: ranked, short }
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -11,5 +11,6 @@
 pub use plain::place_plain;
 pub use plan::Placement;
 pub use plan::Reason;
+pub use prompt::Request;
 pub use prompt::is_long;
 pub use prompt::place_prompt;
--- a/crates/gateway/src/placement/plan.rs
+++ b/crates/gateway/src/placement/plan.rs
@@ -8,6 +8,8 @@
     FewestRequests,
     /// It has the least to read among the servers for short prompts.
     ShortDivision,
+    /// Parts of the prompt are small enough to be read anywhere.
+    Thin,
     /// It is among the servers for long prompts.
     LongDivision,
 }
