--- /dev/null
+++ b/crates/gateway/src/gateway/requests.rs
@@ -0,0 +1,129 @@
+//! The budget, the placement and the load of a request.
+
+use std::time::Duration;
+
+use kumquattiller_base::runner;
+use kumquattiller_base::size::Tokens;
+use kumquattiller_base::time::Moment;
+use log::info;
+
+use crate::Gateway;
+use crate::dialect::Helper;
+use crate::fleet::Server;
+use crate::http::Job;
+use crate::load::Work;
+use crate::placement::Candidate;
+use crate::placement::Placement;
+use crate::placement::Request;
+use crate::placement::is_long;
+use crate::placement::place_plain;
+use crate::placement::place_prompt;
+use crate::suspect;
+
+/// Longest pause that counts as short: streams that allow no more are kept from long prompts.
+const TIGHT_GAP: Duration = Duration::from_millis(300);
+impl Gateway {
+    /// Counts an admitted request for the retry budget of its service.
+    pub fn count_request(&self, job: &Job) {
+        self.metrics.admitted();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(job.service.name.clone()).or_default();
+        budget.request(self.now(), &self.settings.budget);
+        if let (Some(profile), Some(prompt)) = (&job.service.engine, &job.ask.prompt) {
+            let long = is_long(prompt, profile);
+            let long_ms = if long { profile.read_ms(prompt.tokens) } else { 0.0 };
+            self.ledger.borrow_mut().count(long_ms, !long, self.now());
+        }
+    }
+
+    /// Takes one resend from the retry budget; returns false when none is left.
+    pub fn may_resend(&self, job: &Job) -> bool {
+        let now = self.now();
+        let daemons = self.peers.borrow().alive(now) + 1;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(job.service.name.clone()).or_default();
+        let allowed = budget.withdraw(now, &self.settings.budget, daemons);
+        if allowed {
+            self.metrics.resent();
+        } else {
+            info!(target: "request", id = job.ask.id, daemons; "retry budget spent");
+        }
+        allowed
+    }
+
+    /// Counts that a request's server broke while it ran the request.
+    pub fn count_death(&self, job: &Job) {
+        let deaths = self.suspects.borrow_mut().died(job.fingerprint, self.now());
+        if deaths >= suspect::DEATH_LIMIT {
+            info!(target: "request", id = job.ask.id, deaths; "request is suspect");
+        }
+    }
+
+    /// Chooses the servers of a request, none of `tried`.
+    pub fn place(&self, job: &Job, tried: &[runner::Id]) -> Option<Placement> {
+        let now = self.now();
+        let candidates = self.candidates(job, tried, now);
+        match (&job.service.engine, &job.ask.prompt) {
+            (Some(profile), Some(prompt)) => {
+                let demand = self.ledger.borrow().demand(now);
+                let request = Request { prompt, aim: job.route.aim, gap: job.route.gap, profile };
+                place_prompt(&request, &candidates, &demand)
+            }
+            _ => place_plain(&candidates, rand::random()),
+        }
+    }
+
+    /// Returns the servers that may get a request; those that fail only where no other is left.
+    fn candidates(&self, job: &Job, tried: &[runner::Id], now: Moment) -> Vec<Candidate> {
+        let fleet = self.fleet.borrow();
+        let mut usable = fleet.usable(&job.service.name);
+        usable.retain(|s| !tried.contains(&s.id));
+        let health = self.health.borrow();
+        if usable.iter().any(|s| health.is_usable(&s.id, now)) {
+            usable.retain(|s| health.is_usable(&s.id, now));
+        }
+        let ledger = self.ledger.borrow();
+        let describe = |s: &Server| Candidate::new(s.id.clone(), ledger.view(&s.id, now), s.slots);
+        usable.into_iter().map(describe).collect()
+    }
+
+    /// Returns what a placement asks of each of its servers.
+    pub fn works(&self, job: &Job, placement: &Placement) -> Vec<Work> {
+        let prompt = job.ask.prompt.filter(|_| job.service.engine.is_some());
+        let long = match (&job.service.engine, &prompt) {
+            (Some(profile), Some(prompt)) => is_long(prompt, profile),
+            _ => false,
+        };
+        let memory = prompt.map_or(Tokens::ZERO, |p| p.tokens.saturating_add(p.answer));
+        let main = Work {
+            server: placement.server.clone(),
+            read_ms: placement.part_ms,
+            long,
+            tight: job.route.streaming && job.route.gap <= TIGHT_GAP,
+            memory,
+            helper: false,
+        };
+        let helper = |server: &runner::Id| Work {
+            server: server.clone(),
+            memory: Tokens::ZERO,
+            helper: true,
+            ..main.clone()
+        };
+        let helpers = placement.helpers.iter().map(helper).collect::<Vec<_>>();
+        std::iter::once(main).chain(helpers).collect()
+    }
+
+    /// Returns the helpers of a placement that are still known.
+    pub fn helpers(&self, placement: &Placement) -> Vec<Helper> {
+        let fleet = self.fleet.borrow();
+        let known = placement.helpers.iter().filter_map(|id| fleet.server(id));
+        known.map(|s| Helper { address: s.address, ticket: None }).collect()
+    }
+
+    /// Returns how urgent a request is for its server, 0 first.
+    pub fn urgency(&self, job: &Job) -> Option<u8> {
+        job.service.engine?;
+        let loose = u8::from(job.route.gap > TIGHT_GAP);
+        Some(job.rank.saturating_mul(2).saturating_add(loose).min(9))
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -2,12 +2,10 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use kumquattiller_base::runner;
 use kumquattiller_base::service;
-use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
 use log::error;
 use log::info;
@@ -17,67 +15,41 @@
 use crate::budget::Budget;
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::config::Repeat;
 use crate::config::Version;
 use crate::dialect::Dialect;
-use crate::dialect::Helper;
 use crate::fleet;
 use crate::fleet::Change;
-use crate::fleet::Server;
 use crate::health::Health;
 use crate::health::Outcome;
-use crate::http::Job;
 use crate::http::Pool;
 use crate::load::Ledger;
-use crate::load::Work;
 use crate::observe::Metrics;
 use crate::observe::State;
 use crate::peer;
 use crate::peer::Document;
-use crate::placement::Candidate;
-use crate::placement::Placement;
-use crate::placement::Request;
-use crate::placement::is_long;
-use crate::placement::place_plain;
-use crate::placement::place_prompt;
-use crate::relay::Flight;
 use crate::settings::Settings;
 use crate::stop::Phase;
 use crate::stop::Stop;
 use crate::suspect::Suspects;
 
-/// Longest pause that counts as short: streams that allow no more are kept from long prompts.
-const TIGHT_GAP: Duration = Duration::from_millis(300);
-/// Time without an answer after which an idempotent plain request goes to a second server, as a
-/// part of the time that it had.
-const PLAIN_WAIT_PART: f64 = 0.35;
-/// Least time without any event of a server that has work before it counts as silent.
-const SERVER_SILENCE: Duration = Duration::from_millis(1_500);
-/// Least time that a stream waits for its first event before it is moved.
-const FIRST_EVENT_WAIT: Duration = Duration::from_millis(1_200);
-/// How many times its expected reading a stream waits for its first event before it is moved.
-const FIRST_EVENT_FACTOR: f64 = 3.0;
-/// How many times its longest good pause a stream waits for its next event before it is moved.
-const GAP_FACTOR: u32 = 3;
-
 /// The state of a daemon, shared by all its tasks.
 pub struct Gateway {
-    clock: Clock,
-    settings: Settings,
+    pub(super) clock: Clock,
+    pub(super) settings: Settings,
     dialect: Rc<dyn Dialect>,
     config: RefCell<Option<Rc<Config>>>,
     document: RefCell<Document>,
-    fleet: RefCell<fleet::Table>,
+    pub(super) fleet: RefCell<fleet::Table>,
     fleet_known: Cell<bool>,
-    ledger: RefCell<Ledger>,
-    health: RefCell<Health>,
-    heard: RefCell<HashMap<runner::Id, Moment>>,
-    suspects: RefCell<Suspects>,
-    budgets: RefCell<HashMap<service::Name, Budget>>,
-    peers: RefCell<peer::Table>,
+    pub(super) ledger: RefCell<Ledger>,
+    pub(super) health: RefCell<Health>,
+    pub(super) heard: RefCell<HashMap<runner::Id, Moment>>,
+    pub(super) suspects: RefCell<Suspects>,
+    pub(super) budgets: RefCell<HashMap<service::Name, Budget>>,
+    pub(super) peers: RefCell<peer::Table>,
     fetching: Cell<bool>,
     pool: Pool,
-    metrics: Metrics,
+    pub(super) metrics: Metrics,
     stop: Cell<Stop>,
     phase: watch::Sender<Phase>,
 }
@@ -267,141 +239,6 @@
         self.fetching.set(false);
     }
 
-    /// Counts an admitted request for the retry budget of its service.
-    pub fn count_request(&self, job: &Job) {
-        self.metrics.admitted();
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(job.service.name.clone()).or_default();
-        budget.request(self.now(), &self.settings.budget);
-        if let (Some(profile), Some(prompt)) = (&job.service.engine, &job.ask.prompt) {
-            let long = is_long(prompt, profile);
-            let long_ms = if long { profile.read_ms(prompt.tokens) } else { 0.0 };
-            self.ledger.borrow_mut().count(long_ms, !long, self.now());
-        }
-    }
-
-    /// Takes one resend from the retry budget; returns false when none is left.
-    pub fn may_resend(&self, job: &Job) -> bool {
-        let now = self.now();
-        let daemons = self.peers.borrow().alive(now) + 1;
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(job.service.name.clone()).or_default();
-        let allowed = budget.withdraw(now, &self.settings.budget, daemons);
-        if allowed {
-            self.metrics.resent();
-        } else {
-            info!(target: "request", id = job.ask.id, daemons; "retry budget spent");
-        }
-        allowed
-    }
-
-    /// Counts that a request's server broke while it ran the request.
-    pub fn count_death(&self, job: &Job) {
-        let deaths = self.suspects.borrow_mut().died(job.fingerprint, self.now());
-        if deaths >= crate::suspect::DEATH_LIMIT {
-            info!(target: "request", id = job.ask.id, deaths; "request is suspect");
-        }
-    }
-
-    /// Chooses the servers of a request, none of `tried`.
-    pub fn place(&self, job: &Job, tried: &[runner::Id]) -> Option<Placement> {
-        let now = self.now();
-        let candidates = self.candidates(job, tried, now);
-        match (&job.service.engine, &job.ask.prompt) {
-            (Some(profile), Some(prompt)) => {
-                let demand = self.ledger.borrow().demand(now);
-                let request = Request { prompt, aim: job.route.aim, profile };
-                place_prompt(&request, &candidates, &demand)
-            }
-            _ => place_plain(&candidates, rand::random()),
-        }
-    }
-
-    /// Returns the servers that may get a request; those that fail only where no other is left.
-    fn candidates(&self, job: &Job, tried: &[runner::Id], now: Moment) -> Vec<Candidate> {
-        let fleet = self.fleet.borrow();
-        let mut usable = fleet.usable(&job.service.name);
-        usable.retain(|s| !tried.contains(&s.id));
-        let health = self.health.borrow();
-        if usable.iter().any(|s| health.is_usable(&s.id, now)) {
-            usable.retain(|s| health.is_usable(&s.id, now));
-        }
-        let ledger = self.ledger.borrow();
-        let describe = |s: &Server| Candidate::new(s.id.clone(), ledger.view(&s.id, now), s.slots);
-        usable.into_iter().map(describe).collect()
-    }
-
-    /// Returns what a placement asks of each of its servers.
-    pub fn works(&self, job: &Job, placement: &Placement) -> Vec<Work> {
-        let prompt = job.ask.prompt.filter(|_| job.service.engine.is_some());
-        let long = match (&job.service.engine, &prompt) {
-            (Some(profile), Some(prompt)) => is_long(prompt, profile),
-            _ => false,
-        };
-        let memory = prompt.map_or(Tokens::ZERO, |p| p.tokens.saturating_add(p.answer));
-        let main = Work {
-            server: placement.server.clone(),
-            read_ms: placement.part_ms,
-            long,
-            tight: job.route.streaming && job.route.gap <= TIGHT_GAP,
-            memory,
-            helper: false,
-        };
-        let helper = |server: &runner::Id| Work {
-            server: server.clone(),
-            memory: Tokens::ZERO,
-            helper: true,
-            ..main.clone()
-        };
-        let helpers = placement.helpers.iter().map(helper).collect::<Vec<_>>();
-        std::iter::once(main).chain(helpers).collect()
-    }
-
-    /// Returns the helpers of a placement that are still known.
-    pub fn helpers(&self, placement: &Placement) -> Vec<Helper> {
-        let fleet = self.fleet.borrow();
-        let known = placement.helpers.iter().filter_map(|id| fleet.server(id));
-        known.map(|s| Helper { address: s.address, ticket: None }).collect()
-    }
-
-    /// Returns how urgent a request is for its server, 0 first.
-    pub fn urgency(&self, job: &Job) -> Option<u8> {
-        job.service.engine?;
-        let loose = u8::from(job.route.gap > TIGHT_GAP);
-        Some(job.rank.saturating_mul(2).saturating_add(loose).min(9))
-    }
-
-    /// Returns until when the head of an answer is waited for.
-    pub fn head_wait(&self, job: &Job, flight: &Flight, sends: u32) -> Moment {
-        let last_try = sends + 1 >= job.route.max_attempts;
-        if job.route.repeat == Repeat::Never || last_try {
-            return job.end;
-        }
-        let now = self.now();
-        let span = if job.route.streaming {
-            let expected = flight.placement().first_ms / 1e3 * FIRST_EVENT_FACTOR;
-            FIRST_EVENT_WAIT + Duration::from_secs_f64(expected)
-        } else {
-            job.left(now).mul_f64(PLAIN_WAIT_PART)
-        };
-        job.end.min(now + span)
-    }
-
-    /// Returns until when the next event of a stream is waited for, whose last came at `last`.
-    pub fn event_wait(&self, job: &Job, last: Moment) -> Moment {
-        last + SERVER_SILENCE.max(job.route.gap * GAP_FACTOR)
-    }
-
-    /// Returns until when a server that has work counts as alive without saying more.
-    pub fn alive_until(&self, server: &runner::Id) -> Moment {
-        self.heard.borrow().get(server).map_or(Moment::ZERO, |at| *at + SERVER_SILENCE)
-    }
-
-    /// Notes that a server said something.
-    pub fn heard(&self, server: &runner::Id) {
-        self.heard.borrow_mut().insert(server.clone(), self.now());
-    }
-
     /// Takes in how a send to a server went.
     pub fn note_health(&self, server: &runner::Id, outcome: Outcome) {
         let pause = self.health.borrow_mut().note(server, outcome, self.now());
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -5,9 +5,9 @@
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header;
+use hyper::http::request::Parts;
 use kumquattiller_base::account;
 use kumquattiller_base::attempt::Attempt;
 use kumquattiller_base::attempt::Unsent;
@@ -37,36 +37,35 @@
 /// Admits a request: finds its route and client account and reads its body.
 pub async fn admit(
     gateway: &Rc<Gateway>,
-    request: Request<Incoming>,
+    ask: &Ask,
+    head: Parts,
+    body: Incoming,
     arrived: Moment,
-) -> Result<Job, (Ask, Refusal)> {
-    let (head, body) = request.into_parts();
-    let ask = gateway.dialect().ask(&head);
-    let fail = |kind| Err((ask.clone(), Refusal::denied(kind)));
+) -> Result<Job, Refusal> {
     let Some(config) = gateway.config() else {
-        return Err((ask, refuse(Kind::NoConfiguration, NO_CONFIGURATION_RETRY)));
+        return Err(refuse(Kind::NoConfiguration, NO_CONFIGURATION_RETRY));
     };
     if matches!(gateway.phase(), Phase::Finishing | Phase::Over) {
-        return Err((ask, refuse(Kind::Stopping, STOPPING_RETRY)));
+        return Err(refuse(Kind::Stopping, STOPPING_RETRY));
     }
     let host = head.uri.host().or_else(|| head.headers.get(header::HOST)?.to_str().ok());
     let (route, account) = match allow(&config, host, head.uri.path(), ask.key.as_deref()) {
         Ok(allowed) => allowed,
-        Err(Denied::NoRoute) => return fail(Kind::NotFound),
-        Err(Denied::UnknownKey) => return fail(Kind::UnknownAccount),
+        Err(Denied::NoRoute) => return Err(Refusal::denied(Kind::NotFound)),
+        Err(Denied::UnknownKey) => return Err(Refusal::denied(Kind::UnknownAccount)),
     };
     let service = route.service(rand::random()).and_then(|name| config.service(name)).cloned();
     let Some(service) = service else {
-        return Err((ask, refuse(Kind::NoRunner, NO_SERVICE_RETRY)));
+        return Err(refuse(Kind::NoRunner, NO_SERVICE_RETRY));
     };
     let span = ask.patience.unwrap_or(route.timeout).min(route.timeout);
     let body = match read(body, &config, span).await {
         Ok(body) => body,
-        Err(kind) => return Err((ask, Refusal::denied(kind))),
+        Err(kind) => return Err(Refusal::denied(kind)),
     };
     let fingerprint = fingerprint(account.as_ref().map(|a| &a.id), head.uri.path(), &body);
     Ok(Job {
-        ask,
+        ask: ask.clone(),
         version: config.version(),
         service,
         rank: account.as_ref().and_then(|a| a.rank).unwrap_or(route.rank),
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -56,9 +56,11 @@
 /// Serves one request of a caller.
 pub async fn serve(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let arrived = gateway.now();
-    let job = match admission::admit(&gateway, request, arrived).await {
+    let (head, body) = request.into_parts();
+    let ask = gateway.dialect().ask(&head);
+    let job = match admission::admit(&gateway, &ask, head, body, arrived).await {
         Ok(job) => Rc::new(job),
-        Err((ask, refusal)) => {
+        Err(refusal) => {
             info!(
                 target: "request", id = ask.id, kind:% = refusal.kind, version:% = gateway.version();
                 "refused at admission"
--- a/crates/gateway/src/placement/division.rs
+++ b/crates/gateway/src/placement/division.rs
@@ -2,7 +2,7 @@
 use crate::placement::Candidate;
 
 /// Part of their time that the servers for long prompts spend reading.
-const LONG_READING_PART: f64 = 0.8;
+const LONG_READING_PART: f64 = 0.65;
 /// Milliseconds of work that a server can do in a second.
 const SERVER_MS: f64 = 1_000.0;
 /// Part of a server's slots that streams with short pauses fill at most when the division moves.
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -4,6 +4,7 @@
 mod division;
 mod plain;
 mod plan;
+mod price;
 mod prompt;
 
 pub use candidate::Candidate;
--- /dev/null
+++ b/crates/gateway/src/placement/price.rs
@@ -0,0 +1,54 @@
+use std::time::Duration;
+
+use crate::engine::Profile;
+use crate::placement::Candidate;
+
+/// Tokens of a prompt that are worth as much to its caller as any request at all.
+const TOKENS_PER_WORTH: f64 = 10_000.0;
+/// Part of its worth that an answer loses when it is late.
+const LATE_LOSS: f64 = 0.75;
+/// Pause that streams with short pauses allow, in milliseconds.
+const TIGHT_PAUSE_MS: f64 = 200.0;
+/// Pause that other streams allow, in milliseconds.
+const LOOSE_PAUSE_MS: f64 = 650.0;
+/// Usual worth of a stream that allows longer pauses.
+const LOOSE_WORTH: f64 = 10.0;
+/// Part of a limit from which a time may turn out late.
+const SURE_PART: f64 = 0.75;
+/// Part of a limit from which a time is taken as late.
+const LATE_PART: f64 = 1.15;
+
+/// Returns the expected loss, 0 to [`LATE_LOSS`], of an answer that is expected at `time` where
+/// `limit` is on time.
+pub fn lateness(time: f64, limit: f64) -> f64 {
+    let part = time / limit.max(1.0);
+    ((part - SURE_PART) / (LATE_PART - SURE_PART)).clamp(0.0, 1.0) * LATE_LOSS
+}
+
+/// Returns what an answer is worth to its caller, 1 for the smallest: long prompts are work that
+/// is not easily asked again.
+pub fn worth(profile: &Profile, read_ms: f64) -> f64 {
+    1.0 + read_ms * profile.read_tokens_per_ms / TOKENS_PER_WORTH
+}
+
+/// Returns the length of the next pass of a server that reads `part_ms` more, in milliseconds.
+pub fn pass_ms(profile: &Profile, candidate: &Candidate, part_ms: f64) -> f64 {
+    let load = &candidate.load;
+    let writers = f64::from(load.tight + load.loose);
+    let context = kumquattiller_base::size::Tokens::new(load.memory);
+    profile.write_pass_ms(writers, context) + load.unread_ms + part_ms
+}
+
+/// Returns what the streams of a server lose when it reads `part_ms` more.
+pub fn harm(profile: &Profile, candidate: &Candidate, part_ms: f64) -> f64 {
+    let before = pass_ms(profile, candidate, 0.0);
+    let after = pass_ms(profile, candidate, part_ms);
+    let added = |limit: f64| lateness(after, limit) - lateness(before, limit);
+    f64::from(candidate.load.tight) * added(TIGHT_PAUSE_MS)
+        + f64::from(candidate.load.loose) * LOOSE_WORTH * added(LOOSE_PAUSE_MS)
+}
+
+/// Returns a time in milliseconds.
+pub fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -9,31 +9,29 @@
 use crate::placement::Division;
 use crate::placement::Placement;
 use crate::placement::Reason;
+use crate::placement::price;
 
 /// Reading time from which a prompt counts as long, in milliseconds: beside a stream with short
 /// pauses it would make that stream late.
 const LONG_READ_MS: f64 = 125.0;
 /// Most helpers of one prompt.
 const MAX_HELPERS: usize = 16;
-/// Reading time of a part that is read beside streams with short pauses without harm, in
-/// milliseconds.
-const THIN_PART_MS: f64 = 95.0;
-/// Most that a server may have unread, with the part, for the part to do no harm, in milliseconds.
-const THIN_UNREAD_MS: f64 = 130.0;
-/// Reading time of a part within the division for long prompts, in milliseconds.
-const PART_MS: f64 = 150.0;
-/// Part of the aim within which a long prompt should be read.
-const AIM_PART: f64 = 0.45;
-/// Time that one more request adds to a placement's cost, in milliseconds.
-const REQUEST_COST_MS: f64 = 3.0;
-/// Added to the cost of a server whose memory does not hold the request, in milliseconds.
-const NO_MEMORY_COST_MS: f64 = 2_000.0;
-/// Added to the cost of a server without a free slot, in milliseconds.
-const NO_SLOT_COST_MS: f64 = 1_000.0;
-/// Cost of a long read for each stream with short pauses beside it, in milliseconds.
-const TIGHT_HARM_MS: f64 = 150.0;
-/// Added to the cost of a server for long prompts that gets a short one, in milliseconds.
-const OTHER_DIVISION_COST_MS: f64 = 150.0;
+/// Reading time beside streams with short pauses that does no harm, in milliseconds.
+const HARMLESS_MS: f64 = 110.0;
+/// Cost of a wait of a second, in worth.
+const WAIT_COST_PER_S: f64 = 0.3;
+/// Cost of each request that a server has, in worth.
+const REQUEST_COST: f64 = 0.004;
+/// Cost of a server whose memory does not hold the request, in worth.
+const NO_MEMORY_COST: f64 = 8.0;
+/// Cost of a server without a free slot, in worth.
+const NO_SLOT_COST: f64 = 3.0;
+/// Cost of placing a short prompt on a server for long ones, in worth.
+const OTHER_DIVISION_COST: f64 = 0.3;
+/// Part of the short prompts that come while a server reads a long one and are late for it.
+const DISPLACED_PART: f64 = 0.3;
+/// Cost of each server that takes part, in worth.
+const PART_COST: f64 = 0.02;
 
 /// A prompt that is to be placed.
 #[derive(Debug, Clone, Copy)]
@@ -42,6 +40,8 @@
     pub prompt: &'a Prompt,
     /// Time within which its first event is on time.
     pub aim: Duration,
+    /// Longest pause between events that is on time.
+    pub gap: Duration,
     /// How the engines work.
     pub profile: &'a Profile,
 }
@@ -54,19 +54,20 @@
 /// Chooses the server of a prompt, and helpers where it is long.
 ///
 /// Answers a load of short prompts whose streams allow short pauses, mixed with prompts whose
-/// reading takes seconds. A long prompt is read in parts so small that they harm nobody, where
-/// enough servers are free for that; else by servers of the division for long prompts, and by
-/// more only where it would be late.
+/// reading takes seconds. Each choice is priced by the worth that it is expected to cost: that of
+/// the request itself when it is late, that of the streams beside which it is read, and that of
+/// the short prompts that come meanwhile.
 pub fn place_prompt(
     request: &Request<'_>,
     candidates: &[Candidate],
     demand: &Demand,
 ) -> Option<Placement> {
     let division = Division::of(candidates, demand);
-    if !is_long(request.prompt, request.profile) {
-        return place_short(request, &division);
+    if is_long(request.prompt, request.profile) {
+        place_long(request, &division, demand)
+    } else {
+        place_short(request, &division)
     }
-    place_thin(request, &division).or_else(|| place_long(request, &division))
 }
 
 impl Request<'_> {
@@ -78,25 +79,42 @@
         self.prompt.tokens.saturating_add(self.prompt.answer)
     }
 
-    /// Returns what running the request at a server costs, in milliseconds.
-    fn cost(&self, candidate: &Candidate) -> f64 {
+    /// Returns what the request loses when a server reads `part_ms` of it and writes its answer,
+    /// and what it costs that server, in worth.
+    fn cost(&self, candidate: &Candidate, part_ms: f64) -> f64 {
         let load = &candidate.load;
-        let mut cost = load.unread_ms + f64::from(load.requests) * REQUEST_COST_MS;
+        let pass_ms = price::pass_ms(self.profile, candidate, part_ms);
+        let worth = price::worth(self.profile, self.read_ms());
+        let paused = price::lateness(pass_ms, price::millis(self.gap));
+        let mut cost = worth * paused + f64::from(load.requests) * REQUEST_COST;
         if load.memory + self.memory().get() > self.profile.memory.get() {
-            cost += NO_MEMORY_COST_MS;
+            cost += NO_MEMORY_COST;
         }
         if load.requests >= self.profile.slots {
-            cost += NO_SLOT_COST_MS;
+            cost += NO_SLOT_COST;
         }
         cost
     }
+
+    /// Returns what it loses when its prompt is read after `first_ms`, in worth.
+    fn wait_cost(&self, first_ms: f64) -> f64 {
+        let worth = price::worth(self.profile, self.read_ms());
+        worth * price::lateness(first_ms, price::millis(self.aim))
+            + first_ms / 1e3 * WAIT_COST_PER_S
+    }
 }
 
 fn place_short(request: &Request<'_>, division: &Division<'_>) -> Option<Placement> {
-    let short = division.short.iter().map(|c| (*c, request.cost(c)));
-    let long = division.long.iter().map(|c| (*c, request.cost(c) + OTHER_DIVISION_COST_MS));
-    let (chosen, _) = short.chain(long).min_by(|a, b| a.1.total_cmp(&b.1))?;
     let read_ms = request.read_ms();
+    let cost = |c: &Candidate| {
+        let first_ms = c.load.unread_ms + read_ms;
+        request.cost(c, read_ms)
+            + request.wait_cost(first_ms)
+            + price::harm(request.profile, c, read_ms)
+    };
+    let short = division.short.iter().map(|c| (*c, cost(c)));
+    let long = division.long.iter().map(|c| (*c, cost(c) + OTHER_DIVISION_COST));
+    let (chosen, _) = short.chain(long).min_by(|a, b| a.1.total_cmp(&b.1))?;
     Some(Placement {
         server: chosen.id.clone(),
         helpers: Vec::new(),
@@ -106,53 +124,62 @@
     })
 }
 
-/// Spreads a prompt so thin that no stream beside it is late; none where the servers are busy.
-fn place_thin(request: &Request<'_>, division: &Division<'_>) -> Option<Placement> {
-    let read_ms = request.read_ms();
-    let parts = (read_ms / THIN_PART_MS).ceil() as usize;
-    let part_ms = read_ms / parts as f64;
-    let mut free: Vec<&Candidate> = division.short.iter().chain(&division.long).copied().collect();
-    free.retain(|c| c.load.unread_ms + part_ms <= THIN_UNREAD_MS);
-    if parts > MAX_HELPERS + 1 || free.len() < parts {
-        return None;
-    }
-    free.sort_by(|a, b| request.cost(a).total_cmp(&request.cost(b)));
-    free.truncate(parts);
-    Some(plan(&free, part_ms, Reason::Thin))
+/// Chooses how many servers read a long prompt, and which.
+fn place_long(
+    request: &Request<'_>,
+    division: &Division<'_>,
+    demand: &Demand,
+) -> Option<Placement> {
+    let most = (division.long.len() + division.short.len()).min(MAX_HELPERS + 1);
+    let options = (1..=most).filter_map(|parts| option(request, division, demand, parts));
+    options.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(placement, _)| placement)
 }
 
-/// Places a prompt on servers for long prompts, and on more of them where it would be late.
-fn place_long(request: &Request<'_>, division: &Division<'_>) -> Option<Placement> {
-    let read_ms = request.read_ms();
-    let target_ms = request.aim.as_secs_f64() * 1e3 * AIM_PART;
-    let first_cost = |c: &&Candidate| request.cost(c);
-    let mut order = division.long.clone();
-    order.sort_by(|a, b| first_cost(a).total_cmp(&first_cost(b)));
-    let own = order.len();
-    let harm = |c: &Candidate| request.cost(c) + f64::from(c.load.tight) * TIGHT_HARM_MS;
-    let mut others = division.short.clone();
-    others.sort_by(|a, b| harm(a).total_cmp(&harm(b)));
-    order.extend(others);
-    let fewest = ((read_ms / PART_MS).ceil() as usize).min(own).max(1);
-    let most = order.len().min(MAX_HELPERS + 1);
-    let first_ms = |parts: usize| {
-        let wait = order[..parts].iter().map(|c| c.load.unread_ms).fold(0.0, f64::max);
-        wait + read_ms / parts as f64
+/// Returns the best placement on `parts` servers and its cost.
+fn option(
+    request: &Request<'_>,
+    division: &Division<'_>,
+    demand: &Demand,
+    parts: usize,
+) -> Option<(Placement, f64)> {
+    let part_ms = request.read_ms() / parts as f64;
+    let displaced = displaced(division, demand, part_ms);
+    let long = division.long.iter().map(|c| (*c, reader_cost(request, c, part_ms)));
+    let short = division.short.iter().map(|c| {
+        let busy = c.load.unread_ms + part_ms > HARMLESS_MS;
+        (*c, reader_cost(request, c, part_ms) + if busy { displaced } else { 0.0 })
+    });
+    let mut readers: Vec<(&Candidate, f64)> = long.chain(short).collect();
+    readers.sort_by(|a, b| a.1.total_cmp(&b.1));
+    readers.truncate(parts);
+    let by_own_cost = |a: &&(&Candidate, f64), b: &&(&Candidate, f64)| {
+        request.cost(a.0, part_ms).total_cmp(&request.cost(b.0, part_ms))
+    };
+    let (first, _) = *readers.iter().min_by(by_own_cost)?;
+    let wait = readers.iter().map(|(c, _)| c.load.unread_ms).fold(0.0, f64::max);
+    let first_ms = wait + part_ms;
+    let read_cost: f64 = readers.iter().map(|(_, cost)| cost).sum();
+    let cost = request.wait_cost(first_ms) + request.cost(first, part_ms) + read_cost;
+    let helpers = readers.iter().filter(|(c, _)| c.id != first.id).map(|(c, _)| c.id.clone());
+    let placement = Placement {
+        server: first.id.clone(),
+        helpers: helpers.collect(),
+        part_ms,
+        first_ms,
+        reason: if part_ms <= HARMLESS_MS { Reason::Thin } else { Reason::LongDivision },
     };
-    let parts = (fewest..=most)
-        .find(|parts| first_ms(*parts) <= target_ms)
-        .or_else(|| (1..=most).min_by(|a, b| first_ms(*a).total_cmp(&first_ms(*b))))?;
-    Some(plan(&order[..parts], read_ms / parts as f64, Reason::LongDivision))
+    Some((placement, cost))
 }
 
-/// Returns the placement on servers, of which the first runs the request.
-fn plan(servers: &[&Candidate], part_ms: f64, reason: Reason) -> Placement {
-    let wait = servers.iter().map(|c| c.load.unread_ms).fold(0.0, f64::max);
-    Placement {
-        server: servers[0].id.clone(),
-        helpers: servers[1..].iter().map(|c| c.id.clone()).collect(),
-        part_ms,
-        first_ms: wait + part_ms,
-        reason,
-    }
+/// Returns what reading a part at a server costs: the streams there, and the wait.
+fn reader_cost(request: &Request<'_>, candidate: &Candidate, part_ms: f64) -> f64 {
+    price::harm(request.profile, candidate, part_ms)
+        + candidate.load.unread_ms / 1e3 * WAIT_COST_PER_S
+        + PART_COST
+}
+
+/// Returns what the short prompts lose that come while one of their servers reads a long part.
+fn displaced(division: &Division<'_>, demand: &Demand, part_ms: f64) -> f64 {
+    let servers = division.short.len().max(1) as f64;
+    demand.short / servers * part_ms / 1e3 * DISPLACED_PART
 }
