--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -1,7 +1,5 @@
 //! The budget, the placement and the load of a request.
 
-use std::time::Duration;
-
 use kumquattiller_base::runner;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
@@ -12,16 +10,16 @@
 use crate::fleet::Server;
 use crate::http::Job;
 use crate::load::Work;
+use crate::load::group_of;
 use crate::placement::Candidate;
 use crate::placement::Placement;
 use crate::placement::Request;
 use crate::placement::is_long;
 use crate::placement::place_plain;
 use crate::placement::place_prompt;
+use crate::placement::worth;
 use crate::suspect;
 
-/// Longest pause that counts as short: streams that allow no more are kept from long prompts.
-const TIGHT_GAP: Duration = Duration::from_millis(300);
 impl Gateway {
     /// Counts an admitted request for the retry budget of its service.
     pub fn count_request(&self, job: &Job) {
@@ -99,7 +97,8 @@
             server: placement.server.clone(),
             read_ms: placement.part_ms,
             long,
-            tight: job.route.streaming && job.route.gap <= TIGHT_GAP,
+            pause: job.route.gap,
+            worth: prompt.map_or(0.0, |p| worth(p.tokens)),
             memory,
             helper: false,
         };
@@ -123,7 +122,7 @@
     /// Returns how urgent a request is for its server, 0 first.
     pub fn urgency(&self, job: &Job) -> Option<u8> {
         job.service.engine?;
-        let loose = u8::from(job.route.gap > TIGHT_GAP);
+        let loose = u8::from(group_of(job.route.gap) > 0);
         Some(job.rank.saturating_mul(2).saturating_add(loose).min(9))
     }
 }
--- a/crates/gateway/src/load/ledger.rs
+++ b/crates/gateway/src/load/ledger.rs
@@ -7,9 +7,12 @@
 use kumquattiller_base::time::Moment;
 
 use crate::load::Demand;
+use crate::load::GROUPS;
 use crate::load::Load;
 use crate::load::Meter;
+use crate::load::Streams;
 use crate::load::Work;
+use crate::load::group_of;
 use crate::load::key_of;
 
 /// How long what a peer said of its load counts.
@@ -26,6 +29,8 @@
 struct Entry {
     works: Vec<Work>,
     reading: bool,
+    /// Whether its stream has begun and is on time.
+    on_time: bool,
 }
 
 #[derive(Debug, Default, Clone, Copy)]
@@ -36,7 +41,7 @@
     long_ms: f64,
     requests: u32,
     tight: u32,
-    loose: u32,
+    writing: u32,
     memory: u64,
 }
 
@@ -71,27 +76,35 @@
             own.requests += u32::from(!work.helper);
             own.memory += work.memory.get();
         }
-        self.entries.insert(key, Entry { works, reading: true });
+        self.entries.insert(key, Entry { works, reading: true, on_time: false });
         key
     }
 
     /// Notes that the first event of a request has come: its prompt is read.
-    pub fn read(&mut self, key: Key, now: Moment) {
+    pub fn read(&mut self, key: Key, on_time: bool, now: Moment) {
         let Some(entry) = self.entries.get_mut(&key) else {
             return;
         };
         if !std::mem::take(&mut entry.reading) {
             return;
         }
+        entry.on_time = on_time;
         for work in &entry.works {
             finish_reading(&mut self.own, work, now);
-            if let Some(own) = self.own.get_mut(&work.server) {
-                own.tight += u32::from(work.tight && !work.helper);
-                own.loose += u32::from(!work.tight && !work.helper);
+            if let Some(own) = self.own.get_mut(&work.server).filter(|_| !work.helper) {
+                own.tight += u32::from(work.is_tight());
+                own.writing += 1;
             }
         }
     }
 
+    /// Notes that a stream is late already, so that it has nothing more to lose.
+    pub fn late(&mut self, key: Key) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.on_time = false;
+        }
+    }
+
     /// Removes a request that has ended.
     pub fn end(&mut self, key: Key, now: Moment) {
         let Some(entry) = self.entries.remove(&key) else {
@@ -106,8 +119,10 @@
             };
             own.requests -= u32::from(!work.helper);
             own.memory -= work.memory.get();
-            own.tight -= u32::from(work.tight && !work.helper && !entry.reading);
-            own.loose -= u32::from(!work.tight && !work.helper && !entry.reading);
+            if !work.helper && !entry.reading {
+                own.tight -= u32::from(work.is_tight());
+                own.writing -= 1;
+            }
         }
         self.own.retain(|_, own| own.requests > 0 || own.reading_ms > 0.0);
     }
@@ -145,12 +160,13 @@
 
     /// Returns what this daemon has in flight at a server.
     pub fn own(&self, server: &runner::Id, now: Moment) -> Load {
-        self.own.get(server).map(|own| own.load(now)).unwrap_or_default()
+        let own = self.own.get(server).map(|own| own.load(now)).unwrap_or_default();
+        Load { streams: self.streams(server), ..own }
     }
 
     /// Returns what this daemon has in flight at all servers where it has something.
     pub fn all_own(&self, now: Moment) -> impl Iterator<Item = (&runner::Id, Load)> {
-        self.own.iter().map(move |(id, own)| (id, own.load(now)))
+        self.own.keys().map(move |id| (id, self.own(id, now)))
     }
 
     /// Returns what all daemons have in flight at a server.
@@ -161,6 +177,19 @@
         told.fold(self.own(server, now), |sum, load| sum + load)
     }
 
+    /// Returns the streams that this daemon has at a server and that are on time.
+    fn streams(&self, server: &runner::Id) -> [Streams; GROUPS] {
+        let mut streams = [Streams::default(); GROUPS];
+        let on_time = self.entries.values().filter(|entry| entry.on_time);
+        for work in on_time.filter_map(|entry| entry.works.first()) {
+            if work.server == *server {
+                let group = group_of(work.pause);
+                streams[group] = streams[group] + work.stream();
+            }
+        }
+        streams
+    }
+
     /// Returns the number of requests in flight here.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -196,7 +225,8 @@
             long_ms: unread_ms * long_share.clamp(0.0, 1.0),
             requests: self.requests,
             tight: self.tight,
-            loose: self.loose,
+            writing: self.writing,
+            streams: Default::default(),
             memory: self.memory,
         }
     }
--- a/crates/gateway/src/load/mod.rs
+++ b/crates/gateway/src/load/mod.rs
@@ -3,6 +3,7 @@
 mod demand;
 mod entry;
 mod ledger;
+mod streams;
 mod view;
 
 pub use demand::Demand;
@@ -10,5 +11,8 @@
 pub use entry::Work;
 pub use ledger::Key;
 pub use ledger::Ledger;
+pub use streams::GROUPS;
+pub use streams::Streams;
+pub use streams::group_of;
 pub use view::Load;
 pub use view::key_of;
--- a/crates/gateway/src/load/view.rs
+++ b/crates/gateway/src/load/view.rs
@@ -1,6 +1,9 @@
 use kumquattiller_base::runner;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::load::GROUPS;
+use crate::load::Streams;
+
 /// What one server has in flight.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Load {
@@ -12,8 +15,10 @@
     pub requests: u32,
     /// Streams among them that have begun and allow only short pauses.
     pub tight: u32,
-    /// Streams among them that have begun and allow longer pauses.
-    pub loose: u32,
+    /// Streams among them that have begun.
+    pub writing: u32,
+    /// What those of them that are on time are worth, by the pauses that they allow.
+    pub streams: [Streams; GROUPS],
     /// Tokens that they hold in the engine's memory.
     pub memory: u64,
 }
@@ -27,7 +32,8 @@
             long_ms: self.long_ms + other.long_ms,
             requests: self.requests + other.requests,
             tight: self.tight + other.tight,
-            loose: self.loose + other.loose,
+            writing: self.writing + other.writing,
+            streams: std::array::from_fn(|n| self.streams[n] + other.streams[n]),
             memory: self.memory + other.memory,
         }
     }
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -1,3 +1,5 @@
+use crate::load;
+
 /// What a daemon tells of one server.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Load {
@@ -19,9 +21,35 @@
     /// Tokens held in the engine's memory.
     #[prost(uint64, tag = "6")]
     pub memory: u64,
-    /// Streams that have begun and allow longer pauses.
+    /// Streams that have begun.
     #[prost(uint32, tag = "7")]
-    pub loose: u32,
+    pub writing: u32,
+    /// Streams on time, by the pauses that they allow.
+    #[prost(message, repeated, tag = "8")]
+    pub streams: Vec<Streams>,
+}
+
+/// Streams of one group at a server.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Streams {
+    /// What they are worth.
+    #[prost(float, tag = "1")]
+    pub worth: f32,
+    /// Shortest of the longest pauses that they allow, in milliseconds.
+    #[prost(float, tag = "2")]
+    pub pause_ms: f32,
+}
+
+impl From<&load::Streams> for Streams {
+    fn from(streams: &load::Streams) -> Self {
+        Self { worth: streams.worth as f32, pause_ms: streams.pause_ms as f32 }
+    }
+}
+
+impl From<&Streams> for load::Streams {
+    fn from(streams: &Streams) -> Self {
+        Self { worth: f64::from(streams.worth), pause_ms: f64::from(streams.pause_ms) }
+    }
 }
 
 /// How many servers a request broke.
@@ -83,7 +111,7 @@
 
 impl Load {
     /// Describes what this daemon has in flight at a server.
-    pub fn of(server: u64, load: &crate::load::Load) -> Self {
+    pub fn of(server: u64, load: &load::Load) -> Self {
         Self {
             server,
             unread_ms: load.unread_ms as u32,
@@ -91,12 +119,13 @@
             requests: load.requests,
             tight: load.tight,
             memory: load.memory,
-            loose: load.loose,
+            writing: load.writing,
+            streams: load.streams.iter().map(Into::into).collect(),
         }
     }
 }
 
-impl From<&Load> for crate::load::Load {
+impl From<&Load> for load::Load {
     fn from(load: &Load) -> Self {
         Self {
             unread_ms: f64::from(load.unread_ms),
@@ -104,7 +133,10 @@
             requests: load.requests,
             tight: load.tight,
             memory: load.memory,
-            loose: load.loose,
+            writing: load.writing,
+            streams: std::array::from_fn(|n| {
+                load.streams.get(n).map(Into::into).unwrap_or_default()
+            }),
         }
     }
 }
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -12,6 +12,7 @@
 pub use plain::place_plain;
 pub use plan::Placement;
 pub use plan::Reason;
+pub use price::worth;
 pub use prompt::Request;
 pub use prompt::is_long;
 pub use prompt::place_prompt;
--- a/crates/gateway/src/placement/plan.rs
+++ b/crates/gateway/src/placement/plan.rs
@@ -28,3 +28,10 @@
     /// Why.
     pub reason: Reason,
 }
+
+impl Placement {
+    /// Returns the ids of the helpers, for the log.
+    pub fn helper_names(&self) -> String {
+        self.helpers.iter().map(runner::Id::as_str).collect::<Vec<_>>().join(" ")
+    }
+}
--- a/crates/gateway/src/placement/price.rs
+++ b/crates/gateway/src/placement/price.rs
@@ -1,18 +1,15 @@
 use std::time::Duration;
 
+use kumquattiller_base::size::Tokens;
+
 use crate::engine::Profile;
+use crate::load::Streams;
 use crate::placement::Candidate;
 
 /// Tokens of a prompt that are worth as much to its caller as any request at all.
 const TOKENS_PER_WORTH: f64 = 10_000.0;
 /// Part of its worth that an answer loses when it is late.
 const LATE_LOSS: f64 = 0.75;
-/// Pause that streams with short pauses allow, in milliseconds.
-const TIGHT_PAUSE_MS: f64 = 200.0;
-/// Pause that other streams allow, in milliseconds.
-const LOOSE_PAUSE_MS: f64 = 650.0;
-/// Usual worth of a stream that allows longer pauses.
-const LOOSE_WORTH: f64 = 10.0;
 /// Part of a limit from which a time may turn out late.
 const SURE_PART: f64 = 0.75;
 /// Part of a limit from which a time is taken as late.
@@ -27,15 +24,15 @@
 
 /// Returns what an answer is worth to its caller, 1 for the smallest: long prompts are work that
 /// is not easily asked again.
-pub fn worth(profile: &Profile, read_ms: f64) -> f64 {
-    1.0 + read_ms * profile.read_tokens_per_ms / TOKENS_PER_WORTH
+pub fn worth(prompt: Tokens) -> f64 {
+    1.0 + prompt.get() as f64 / TOKENS_PER_WORTH
 }
 
 /// Returns the length of the next pass of a server that reads `part_ms` more, in milliseconds.
 pub fn pass_ms(profile: &Profile, candidate: &Candidate, part_ms: f64) -> f64 {
     let load = &candidate.load;
-    let writers = f64::from(load.tight + load.loose);
-    let context = kumquattiller_base::size::Tokens::new(load.memory);
+    let writers = f64::from(load.writing);
+    let context = Tokens::new(load.memory);
     profile.write_pass_ms(writers, context) + load.unread_ms + part_ms
 }
 
@@ -43,9 +40,9 @@
 pub fn harm(profile: &Profile, candidate: &Candidate, part_ms: f64) -> f64 {
     let before = pass_ms(profile, candidate, 0.0);
     let after = pass_ms(profile, candidate, part_ms);
-    let added = |limit: f64| lateness(after, limit) - lateness(before, limit);
-    f64::from(candidate.load.tight) * added(TIGHT_PAUSE_MS)
-        + f64::from(candidate.load.loose) * LOOSE_WORTH * added(LOOSE_PAUSE_MS)
+    let added =
+        |s: &Streams| s.worth * (lateness(after, s.pause_ms) - lateness(before, s.pause_ms));
+    candidate.load.streams.iter().filter(|s| s.worth > 0.0).map(added).sum()
 }
 
 /// Returns a time in milliseconds.
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -84,7 +84,7 @@
     fn cost(&self, candidate: &Candidate, part_ms: f64) -> f64 {
         let load = &candidate.load;
         let pass_ms = price::pass_ms(self.profile, candidate, part_ms);
-        let worth = price::worth(self.profile, self.read_ms());
+        let worth = price::worth(self.prompt.tokens);
         let paused = price::lateness(pass_ms, price::millis(self.gap));
         let mut cost = worth * paused + f64::from(load.requests) * REQUEST_COST;
         if load.memory + self.memory().get() > self.profile.memory.get() {
@@ -98,7 +98,7 @@
 
     /// Returns what it loses when its prompt is read after `first_ms`, in worth.
     fn wait_cost(&self, first_ms: f64) -> f64 {
-        let worth = price::worth(self.profile, self.read_ms());
+        let worth = price::worth(self.prompt.tokens);
         worth * price::lateness(first_ms, price::millis(self.aim))
             + first_ms / 1e3 * WAIT_COST_PER_S
     }
--- a/crates/gateway/src/relay/flight.rs
+++ b/crates/gateway/src/relay/flight.rs
@@ -32,7 +32,7 @@
         let helpers = gateway.helpers(placement);
         info!(
             target: "request", id = job.ask.id, server:% = placement.server,
-            reason:% = placement.reason, helpers = helpers.len(),
+            reason:% = placement.reason, helpers:% = placement.helper_names(),
             first_ms = placement.first_ms as u64, part_ms = placement.part_ms as u64,
             prompt = job.ask.prompt.map_or(0, |p| p.tokens.get()),
             left_ms = job.left(now).as_millis() as u64, version:% = job.version;
@@ -63,10 +63,15 @@
         &self.helpers
     }
 
-    /// Notes that the prompt is read.
-    pub fn read(&self) {
+    /// Notes that something of the answer came, and whether it is on time.
+    pub fn read(&self, on_time: bool) {
         let now = self.gateway.now();
-        self.gateway.ledger().borrow_mut().read(self.key, now);
+        let mut ledger = self.gateway.ledger().borrow_mut();
+        ledger.read(self.key, on_time, now);
+        if !on_time {
+            ledger.late(self.key);
+        }
+        drop(ledger);
         self.gateway.heard(&self.placement.server);
     }
 
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -138,8 +138,10 @@
             self.longest_gap = self.longest_gap.max(now.since(self.last));
         }
         self.last = now;
+        let begun = self.first.unwrap_or(now).since(self.job.arrived) <= self.job.route.aim;
+        let on_time = begun && self.longest_gap <= self.job.route.gap;
         let part = self.part.as_ref()?;
-        part.flight.read();
+        part.flight.read(on_time);
         let events = match self.splitter.push(bytes) {
             Ok(events) => events,
             Err(_) => {
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -34,7 +34,8 @@
         server: id(n),
         read_ms: 100.0,
         long: n.is_multiple_of(2),
-        tight: n.is_multiple_of(3),
+        pause: Duration::from_millis(if n.is_multiple_of(3) { 200 } else { 800 }),
+        worth: 2.0,
         memory: Tokens::new(if helper { 0 } else { 1_000 }),
         helper,
     }
@@ -52,7 +53,7 @@
         for (server, action, gap) in steps {
             now = now + Duration::from_millis(gap);
             match (action, open.last().copied()) {
-                (1, Some(key)) => ledger.read(key, now),
+                (1, Some(key)) => ledger.read(key, true, now),
                 (2, Some(key)) => {
                     open.pop();
                     ledger.end(key, now);
@@ -75,11 +76,21 @@
     let mut ledger = Ledger::default();
     let key = ledger.start(vec![work(0, false)], Moment::ZERO);
     assert_eq!(ledger.own(&id(0), Moment::ZERO).unread_ms, 100.0);
-    ledger.read(key, Moment::from_millis(100));
+    ledger.read(key, true, Moment::from_millis(100));
     let load = ledger.own(&id(0), Moment::from_millis(100));
     assert_eq!((load.unread_ms, load.tight, load.requests, load.memory), (0.0, 1, 1, 1_000));
 }
 
+#[test]
+fn a_late_stream_has_nothing_more_to_lose() {
+    let mut ledger = Ledger::default();
+    let key = ledger.start(vec![work(0, false)], Moment::ZERO);
+    ledger.read(key, true, Moment::ZERO);
+    assert_eq!(ledger.own(&id(0), Moment::ZERO).streams[0].worth, 2.0);
+    ledger.late(key);
+    assert_eq!(ledger.own(&id(0), Moment::ZERO).streams[0].worth, 0.0);
+}
+
 #[test]
 fn a_peer_counts_until_it_is_silent() {
     let mut ledger = Ledger::default();
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -7,6 +7,7 @@
 use kumquattiller_gateway::engine::Profile;
 use kumquattiller_gateway::load::Demand;
 use kumquattiller_gateway::load::Load;
+use kumquattiller_gateway::load::Streams;
 use kumquattiller_gateway::placement::Candidate;
 use kumquattiller_gateway::placement::Placement;
 use kumquattiller_gateway::placement::Request;
@@ -26,6 +27,13 @@
     stride: 46,
 };
 
+/// Returns a server that writes `count` streams with short pauses.
+fn writing(count: u32) -> Load {
+    let mut load = Load { requests: count, tight: count, writing: count, ..Load::default() };
+    load.streams[0] = Streams { worth: f64::from(count) * 1.5, pause_ms: 200.0 };
+    load
+}
+
 fn candidates(loads: &[Load]) -> Vec<Candidate> {
     let name = |n: usize| format!("server-{n}").parse().unwrap();
     loads.iter().enumerate().map(|(n, load)| Candidate::new(name(n), *load, 16)).collect()
@@ -49,23 +57,31 @@
 #[test]
 fn a_short_prompt_keeps_clear_of_a_long_read() {
     let long = Load { unread_ms: 400.0, long_ms: 400.0, requests: 1, ..Load::default() };
-    let busy = Load { requests: 8, tight: 8, ..Load::default() };
+    let busy = writing(8);
     let candidates = candidates(&[long, busy, long]);
     assert_eq!(load(&candidates, &place(5_000, 300, 200, &candidates)), &busy);
 }
 
 #[test]
 fn a_long_prompt_keeps_clear_of_short_streams() {
-    let writing = Load { requests: 6, tight: 6, ..Load::default() };
+    let writing = writing(6);
     let candidates = candidates(&[writing, writing, Load::default(), writing]);
     let placement = place(80_000, 3_000, 800, &candidates);
     assert_eq!(load(&candidates, &placement), &Load::default());
     assert!(placement.helpers.is_empty());
 }
 
+/// Streams that are late already lose nothing by another long read, so long reads go there.
+#[test]
+fn a_long_prompt_goes_where_streams_are_late_already() {
+    let late = Load { streams: Default::default(), ..writing(6) };
+    let candidates = candidates(&[writing(6), late, writing(6)]);
+    assert_eq!(load(&candidates, &place(80_000, 3_000, 800, &candidates)), &late);
+}
+
 #[test]
 fn a_prompt_that_parts_make_harmless_is_spread() {
-    let writing = Load { requests: 4, tight: 4, ..Load::default() };
+    let writing = writing(4);
     let placement = place(45_000, 1_500, 500, &candidates(&[writing; 14]));
     assert!(placement.part_ms < 110.0, "{} ms", placement.part_ms);
 }
@@ -79,7 +95,7 @@
 
 #[test]
 fn a_prompt_goes_where_its_memory_fits() {
-    let full = Load { requests: 2, loose: 2, memory: 400_000, ..Load::default() };
+    let full = Load { requests: 2, writing: 2, memory: 400_000, ..Load::default() };
     let waiting = Load { unread_ms: 300.0, long_ms: 300.0, requests: 1, ..Load::default() };
     let candidates = candidates(&[full, waiting, full]);
     assert_eq!(load(&candidates, &place(110_000, 3_000, 800, &candidates)), &waiting);
