--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::HeaderMap;
+use hyper::Request;
 use hyper::StatusCode;
 use hyper::http::request::Parts;
 use kumquattiller_base::account;
@@ -45,6 +48,17 @@
     pub ticket: Option<String>,
 }
 
+/// Memory that is to be reserved at a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reservation {
+    /// Its name at the server.
+    pub ticket: String,
+    /// How much.
+    pub tokens: Tokens,
+    /// How long from its arrival.
+    pub hold: Duration,
+}
+
 /// What the gateway adds to a request that it sends to a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Send<'a> {
@@ -100,6 +114,12 @@
     /// Returns the headers of a request to a server. `caller` is what the caller sent.
     fn headers(&self, caller: &HeaderMap, send: &Send<'_>) -> HeaderMap;
 
+    /// Returns the request that reserves memory at a server, or renews the reservation.
+    fn reserve(&self, server: &runner::Id, reservation: &Reservation) -> Request<Full<Bytes>>;
+
+    /// Returns the request that ends a reservation at a server.
+    fn release(&self, server: &runner::Id, ticket: &str) -> Request<Full<Bytes>>;
+
     /// Reads the head of a server's answer.
     fn answer(&self, status: StatusCode, headers: &HeaderMap) -> Answer;
 
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -19,6 +19,7 @@
 use crate::placement::place_prompt;
 use crate::placement::worth;
 use crate::suspect;
+use crate::ticket::Tickets;
 
 impl Gateway {
     /// Counts an admitted request for the retry budget of its service.
@@ -93,6 +94,15 @@
             _ => false,
         };
         let memory = prompt.map_or(Tokens::ZERO, |p| p.tokens.saturating_add(p.answer));
+        let held = |server: &runner::Id| {
+            let holder = placement.holders.iter().find(|(id, _)| id == server);
+            holder.map_or(Tokens::ZERO, |(_, tokens)| *tokens)
+        };
+        let elsewhere = placement
+            .holders
+            .iter()
+            .fold(Tokens::ZERO, |sum, (_, tokens)| sum.saturating_add(*tokens));
+        let memory = memory.saturating_sub(elsewhere);
         let main = Work {
             server: placement.server.clone(),
             read_ms: placement.part_ms,
@@ -104,7 +114,7 @@
         };
         let helper = |server: &runner::Id| Work {
             server: server.clone(),
-            memory: Tokens::ZERO,
+            memory: held(server),
             helper: true,
             ..main.clone()
         };
@@ -113,10 +123,11 @@
     }
 
     /// Returns the helpers of a placement that are still known.
-    pub fn helpers(&self, placement: &Placement) -> Vec<Helper> {
+    pub fn helpers(&self, placement: &Placement, tickets: Option<&Tickets>) -> Vec<Helper> {
         let fleet = self.fleet.borrow();
         let known = placement.helpers.iter().filter_map(|id| fleet.server(id));
-        known.map(|s| Helper { address: s.address, ticket: None }).collect()
+        let ticket = |s: &Server| tickets.and_then(|t| t.at(&s.id));
+        known.map(|s| Helper { address: s.address, ticket: ticket(s) }).collect()
     }
 
     /// Returns how urgent a request is for its server, 0 first.
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -31,6 +31,7 @@
 use crate::http::send;
 use crate::relay;
 use crate::relay::Flight;
+use crate::ticket::Tickets;
 
 /// Largest whole answer that is held, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -98,8 +99,17 @@
         let Some(placement) = gateway.place(job, &tried) else {
             return Err(refuse(attempt, Kind::NoRunner));
         };
+        let tickets = if placement.holders.is_empty() {
+            None
+        } else {
+            let Some(held) = Tickets::reserve(gateway, &job.ask.id, &placement.holders).await
+            else {
+                return Err(refuse(attempt, Kind::MemoryFull));
+            };
+            Some(held)
+        };
         tried.push(placement.server.clone());
-        let flight = Flight::start(gateway, job, &placement);
+        let flight = Flight::start(gateway, job, &placement, tickets);
         let sent = attempt.send();
         match once(gateway, job, flight, sends).await {
             Ended::Final(response) => return Ok(response),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //!   get work), [`engine`] (how long reading takes), [`load`] (what is in flight where),
 //!   [`placement`] (which server, which helpers, or a refusal), [`budget`] (retries), [`health`]
 //!   (servers that fail), [`suspect`] (requests that end servers), [`events`] (whole events of a
-//!   stream), [`stop`] (phases of a graceful stop);
+//!   stream), [`stop`] (phases of a graceful stop), [`ticket`] (memory reserved for large prompts);
 //! - I/O: [`http`] (the listener, connections to servers, the way of one request), [`relay`]
 //!   (streams), [`peer`] (what daemons tell one another), [`observe`] (logs and metrics).
 //!
@@ -34,5 +34,6 @@
 pub mod settings;
 pub mod stop;
 pub mod suspect;
+pub mod ticket;
 
 pub use gateway::Gateway;
--- /dev/null
+++ b/crates/gateway/src/placement/joint.rs
@@ -0,0 +1,125 @@
+use std::cmp::Reverse;
+
+use kumquattiller_base::size::Tokens;
+
+use crate::load::Demand;
+use crate::placement::Candidate;
+use crate::placement::Division;
+use crate::placement::Placement;
+use crate::placement::Reason;
+use crate::placement::Request;
+use crate::placement::price;
+use crate::placement::prompt::MAX_HELPERS;
+use crate::placement::prompt::reader_cost;
+
+/// Part of a server's free memory that a prompt takes: what is known of it is late.
+const FREE_PART: f64 = 0.85;
+
+/// What a second of reading long prompts is worth.
+const WORTH_PER_READING_S: f64 = 6.5;
+/// Part of their worth that prompts lose whose servers are blocked when they come.
+const BLOCKED_LOSS: f64 = 0.75;
+
+/// Places a prompt that no engine's memory holds on several that hold it together.
+///
+/// Answers the few prompts of over an engine's memory, whose reading takes ten seconds of an
+/// engine and more. The servers with most free memory hold it, and others help read it. Where the
+/// streams beside it would lose more than it is worth, it is not placed.
+pub fn place_joint(
+    request: &Request<'_>,
+    division: &Division<'_>,
+    demand: &Demand,
+) -> Option<Placement> {
+    let mut order: Vec<&Candidate> = division.long.iter().chain(&division.short).copied().collect();
+    order.sort_by_key(|c| (Reverse(free(request, c)), c.load.requests, c.rank));
+    let holders = holders(request, &order)?;
+    let fewest = holders.len() + 1;
+    let most = order.len().min(MAX_HELPERS + 1);
+    let options = (fewest..=most).map(|parts| {
+        let readers = readers(request, &order, fewest, parts);
+        let cost = cost(request, division, demand, &readers);
+        (readers, cost)
+    });
+    let (readers, cost) = options.min_by(|a, b| a.1.total_cmp(&b.1))?;
+    if cost >= price::worth(request.prompt.tokens) {
+        return None;
+    }
+    let part_ms = request.read_ms() / readers.len() as f64;
+    Some(Placement {
+        server: readers[0].id.clone(),
+        helpers: readers[1..].iter().map(|c| c.id.clone()).collect(),
+        holders,
+        part_ms,
+        first_ms: longest_wait(&readers) + part_ms,
+        reason: Reason::Joint,
+    })
+}
+
+/// Returns the tokens that a server has room for.
+fn free(request: &Request<'_>, candidate: &Candidate) -> u64 {
+    let free = request.profile.memory.get().saturating_sub(candidate.load.memory);
+    (free as f64 * FREE_PART) as u64
+}
+
+/// Returns which servers after the first hold how much; none where they have no room together.
+fn holders(
+    request: &Request<'_>,
+    order: &[&Candidate],
+) -> Option<Vec<(kumquattiller_base::runner::Id, Tokens)>> {
+    let (first, others) = order.split_first()?;
+    let mut left = request.memory().get().saturating_sub(free(request, first));
+    let mut holders = Vec::new();
+    for candidate in others.iter().take(MAX_HELPERS) {
+        if left == 0 {
+            break;
+        }
+        let part = free(request, candidate).min(left);
+        holders.push((candidate.id.clone(), Tokens::new(part)));
+        left -= part;
+    }
+    (left == 0).then_some(holders)
+}
+
+/// Returns the first `fewest` servers and those that read along at the least cost.
+fn readers<'a>(
+    request: &Request<'_>,
+    order: &[&'a Candidate],
+    fewest: usize,
+    parts: usize,
+) -> Vec<&'a Candidate> {
+    let part_ms = request.read_ms() / parts as f64;
+    let (holding, others) = order.split_at(fewest);
+    let mut others = others.to_vec();
+    let cost = |c: &Candidate| reader_cost(request, c, part_ms);
+    others.sort_by(|a, b| cost(a).total_cmp(&cost(b)));
+    holding.iter().chain(others.iter().take(parts - fewest)).copied().collect()
+}
+
+/// Returns what a placement on `readers` costs, in worth.
+fn cost(
+    request: &Request<'_>,
+    division: &Division<'_>,
+    demand: &Demand,
+    readers: &[&Candidate],
+) -> f64 {
+    let part_ms = request.read_ms() / readers.len() as f64;
+    let harm: f64 = readers.iter().map(|c| reader_cost(request, c, part_ms)).sum();
+    let blocked = blocked(division, demand, readers, part_ms);
+    request.wait_cost(longest_wait(readers) + part_ms) + harm + blocked
+}
+
+/// Returns what the prompts lose that come while their servers read a part.
+fn blocked(division: &Division<'_>, demand: &Demand, readers: &[&Candidate], part_ms: f64) -> f64 {
+    let is_short = |c: &&&Candidate| division.short.iter().any(|s| s.id == c.id);
+    let short = readers.iter().filter(is_short).count() as f64;
+    let long = readers.len() as f64 - short;
+    let short_part = short / division.short.len().max(1) as f64;
+    let long_part = long / division.long.len().max(1) as f64;
+    let lost_short = demand.short * short_part;
+    let lost_long = demand.long_ms / 1e3 * WORTH_PER_READING_S * long_part;
+    (lost_short + lost_long) * part_ms / 1e3 * BLOCKED_LOSS
+}
+
+fn longest_wait(readers: &[&Candidate]) -> f64 {
+    readers.iter().map(|c| c.load.unread_ms).fold(0.0, f64::max)
+}
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -2,6 +2,7 @@
 
 mod candidate;
 mod division;
+mod joint;
 mod plain;
 mod plan;
 mod price;
--- a/crates/gateway/src/placement/plain.rs
+++ b/crates/gateway/src/placement/plain.rs
@@ -16,6 +16,7 @@
     Some(Placement {
         server: chosen.id.clone(),
         helpers: Vec::new(),
+        holders: Vec::new(),
         part_ms: 0.0,
         first_ms: 0.0,
         reason: Reason::FewestRequests,
--- a/crates/gateway/src/placement/plan.rs
+++ b/crates/gateway/src/placement/plan.rs
@@ -1,4 +1,5 @@
 use kumquattiller_base::runner;
+use kumquattiller_base::size::Tokens;
 
 /// Why a server was chosen, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
@@ -10,6 +11,8 @@
     ShortDivision,
     /// Parts of the prompt are small enough to be read anywhere.
     Thin,
+    /// No server's memory holds the prompt; several hold it together.
+    Joint,
     /// It is among the servers for long prompts.
     LongDivision,
 }
@@ -21,6 +24,8 @@
     pub server: runner::Id,
     /// Servers that read a part of its prompt.
     pub helpers: Vec<runner::Id>,
+    /// Helpers that also hold a part of the prompt in their memory, and how much.
+    pub holders: Vec<(runner::Id, Tokens)>,
     /// Time to read the part of each server, in milliseconds.
     pub part_ms: f64,
     /// Expected time until the prompt is read, in milliseconds.
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -9,13 +9,14 @@
 use crate::placement::Division;
 use crate::placement::Placement;
 use crate::placement::Reason;
+use crate::placement::joint::place_joint;
 use crate::placement::price;
 
 /// Reading time from which a prompt counts as long, in milliseconds: beside a stream with short
 /// pauses it would make that stream late.
 const LONG_READ_MS: f64 = 125.0;
 /// Most helpers of one prompt.
-const MAX_HELPERS: usize = 16;
+pub const MAX_HELPERS: usize = 16;
 /// Reading time beside streams with short pauses that does no harm, in milliseconds.
 const HARMLESS_MS: f64 = 110.0;
 /// Cost of a wait of a second, in worth.
@@ -33,6 +34,9 @@
 /// Cost of each server that takes part, in worth.
 const PART_COST: f64 = 0.02;
 
+/// Part of an engine's memory that one prompt takes at most without others' memory.
+const ALONE_PART: f64 = 0.9;
+
 /// A prompt that is to be placed.
 #[derive(Debug, Clone, Copy)]
 pub struct Request<'a> {
@@ -63,6 +67,9 @@
     demand: &Demand,
 ) -> Option<Placement> {
     let division = Division::of(candidates, demand);
+    if request.memory().get() as f64 > request.profile.memory.get() as f64 * ALONE_PART {
+        return place_joint(request, &division, demand);
+    }
     if is_long(request.prompt, request.profile) {
         place_long(request, &division, demand)
     } else {
@@ -71,11 +78,13 @@
 }
 
 impl Request<'_> {
-    fn read_ms(&self) -> f64 {
+    /// Returns how long one engine reads the prompt, in milliseconds.
+    pub fn read_ms(&self) -> f64 {
         self.profile.read_ms(self.prompt.tokens)
     }
 
-    fn memory(&self) -> Tokens {
+    /// Returns the memory that the prompt and its answer take.
+    pub fn memory(&self) -> Tokens {
         self.prompt.tokens.saturating_add(self.prompt.answer)
     }
 
@@ -97,7 +106,7 @@
     }
 
     /// Returns what it loses when its prompt is read after `first_ms`, in worth.
-    fn wait_cost(&self, first_ms: f64) -> f64 {
+    pub fn wait_cost(&self, first_ms: f64) -> f64 {
         let worth = price::worth(self.prompt.tokens);
         worth * price::lateness(first_ms, price::millis(self.aim))
             + first_ms / 1e3 * WAIT_COST_PER_S
@@ -118,6 +127,7 @@
     Some(Placement {
         server: chosen.id.clone(),
         helpers: Vec::new(),
+        holders: Vec::new(),
         part_ms: read_ms,
         first_ms: chosen.load.unread_ms + read_ms,
         reason: Reason::ShortDivision,
@@ -164,6 +174,7 @@
     let placement = Placement {
         server: first.id.clone(),
         helpers: helpers.collect(),
+        holders: Vec::new(),
         part_ms,
         first_ms,
         reason: if part_ms <= HARMLESS_MS { Reason::Thin } else { Reason::LongDivision },
@@ -172,7 +183,7 @@
 }
 
 /// Returns what reading a part at a server costs: the streams there, and the wait.
-fn reader_cost(request: &Request<'_>, candidate: &Candidate, part_ms: f64) -> f64 {
+pub fn reader_cost(request: &Request<'_>, candidate: &Candidate, part_ms: f64) -> f64 {
     price::harm(request.profile, candidate, part_ms)
         + candidate.load.unread_ms / 1e3 * WAIT_COST_PER_S
         + PART_COST
--- a/crates/gateway/src/relay/flight.rs
+++ b/crates/gateway/src/relay/flight.rs
@@ -11,6 +11,7 @@
 use crate::http::Job;
 use crate::load::Key;
 use crate::placement::Placement;
+use crate::ticket::Tickets;
 
 /// A request that is at a server. Dropping it takes the request out of the load.
 #[derive(Debug)]
@@ -19,6 +20,8 @@
     job: Rc<Job>,
     placement: Placement,
     helpers: Vec<Helper>,
+    /// Ends with the flight.
+    _tickets: Option<Tickets>,
     key: Key,
     /// When it was sent.
     pub started: Moment,
@@ -26,10 +29,15 @@
 
 impl Flight {
     /// Enters a request into the load of the servers that it was placed on.
-    pub fn start(gateway: &Rc<Gateway>, job: &Rc<Job>, placement: &Placement) -> Self {
+    pub fn start(
+        gateway: &Rc<Gateway>,
+        job: &Rc<Job>,
+        placement: &Placement,
+        tickets: Option<Tickets>,
+    ) -> Self {
         let now = gateway.now();
         let key = gateway.ledger().borrow_mut().start(gateway.works(job, placement), now);
-        let helpers = gateway.helpers(placement);
+        let helpers = gateway.helpers(placement, tickets.as_ref());
         info!(
             target: "request", id = job.ask.id, server:% = placement.server,
             reason:% = placement.reason, helpers:% = placement.helper_names(),
@@ -43,6 +51,7 @@
             job: job.clone(),
             placement: placement.clone(),
             helpers,
+            _tickets: tickets,
             key,
             started: now,
         }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -210,7 +210,7 @@
             let Some(placement) = self.gateway.place(&self.job, &[]) else {
                 return false;
             };
-            let flight = Flight::start(&self.gateway, &self.job, &placement);
+            let flight = Flight::start(&self.gateway, &self.job, &placement, None);
             self.sends += 1;
             let Some(server) = flight.server() else {
                 continue;
--- /dev/null
+++ b/crates/gateway/tests/joint.rs
@@ -0,0 +1,107 @@
+//! Prompts that no engine's memory holds.
+
+use std::time::Duration;
+
+use kumquattiller_base::size::Tokens;
+use kumquattiller_gateway::dialect::Prompt;
+use kumquattiller_gateway::engine::Profile;
+use kumquattiller_gateway::load::Demand;
+use kumquattiller_gateway::load::Load;
+use kumquattiller_gateway::load::Streams;
+use kumquattiller_gateway::placement::Candidate;
+use kumquattiller_gateway::placement::Placement;
+use kumquattiller_gateway::placement::Reason;
+use kumquattiller_gateway::placement::Request;
+use kumquattiller_gateway::placement::place_prompt;
+use proptest::prelude::*;
+
+/// Seed of the cases in CI.
+const SEED: u64 = 0x5eed_0104;
+
+const PROFILE: Profile = Profile {
+    slots: 16,
+    memory: Tokens::new(450_000),
+    step_ms: 0.925,
+    step_ms_per_writer: 0.00483,
+    context_ms_per_k: 0.00254,
+    read_tokens_per_ms: 256.0,
+    pairs_ms_per_m: 0.0917,
+    chunk: Tokens::new(2_048),
+    stride: 46,
+};
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 200,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn place(tokens: u64, loads: &[Load], demand: &Demand) -> Option<Placement> {
+    let name = |n: usize| format!("server-{n}").parse().unwrap();
+    let candidates: Vec<Candidate> =
+        loads.iter().enumerate().map(|(n, l)| Candidate::new(name(n), *l, 16)).collect();
+    let prompt = Prompt { tokens: Tokens::new(tokens), answer: Tokens::new(1_000) };
+    let request = Request {
+        prompt: &prompt,
+        aim: Duration::from_secs(3),
+        gap: Duration::from_millis(800),
+        profile: &PROFILE,
+    };
+    place_prompt(&request, &candidates, demand)
+}
+
+fn busy() -> Load {
+    let mut load = Load { requests: 6, tight: 6, writing: 6, ..Load::default() };
+    load.streams[0] = Streams { worth: 9.0, pause_ms: 200.0 };
+    load
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// What is held elsewhere and what the first server has free hold the whole prompt, and no
+    /// server is asked for more than it has.
+    #[test]
+    fn the_memory_fits(
+        tokens in 410_000..1_000_000_u64,
+        used in proptest::collection::vec(0..450_000_u64, 1..20),
+    ) {
+        let loads: Vec<Load> = used.iter().map(|m| Load { memory: *m, ..Load::default() }).collect();
+        let Some(placement) = place(tokens, &loads, &Demand::default()) else {
+            return Ok(());
+        };
+        let free = |id: &str| {
+            let index: usize = id.strip_prefix("server-").unwrap().parse().unwrap();
+            450_000 - used[index]
+        };
+        let held: u64 = placement.holders.iter().map(|(_, t)| t.get()).sum();
+        prop_assert!(tokens + 1_000 - held <= free(placement.server.as_str()));
+        for (id, tokens) in &placement.holders {
+            prop_assert!(tokens.get() <= free(id.as_str()));
+            prop_assert!(placement.helpers.contains(id));
+        }
+        prop_assert!(placement.helpers.len() <= 16);
+        prop_assert!(!placement.helpers.contains(&placement.server));
+    }
+}
+
+#[test]
+fn an_idle_fleet_serves_a_million_tokens() {
+    let placement = place(1_000_000, &[Load::default(); 14], &Demand::default()).unwrap();
+    assert_eq!(placement.reason, Reason::Joint);
+    assert!(placement.first_ms < 15_000.0);
+}
+
+#[test]
+fn a_busy_fleet_refuses_what_would_cost_the_others_more() {
+    let demand = Demand { long_ms: 7_000.0, short: 50.0 };
+    assert_eq!(place(1_000_000, &[busy(); 14], &demand), None);
+}
+
+#[test]
+fn one_server_cannot_hold_it() {
+    assert_eq!(place(1_000_000, &[Load::default()], &Demand::default()), None);
+}
