--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -9,8 +9,10 @@
 use crate::dialect::Helper;
 use crate::fleet::Server;
 use crate::http::Job;
+use crate::load::Demand;
 use crate::load::Work;
 use crate::load::group_of;
+use crate::peer;
 use crate::placement::Candidate;
 use crate::placement::Placement;
 use crate::placement::Request;
@@ -66,12 +68,19 @@
             (Some(profile), Some(prompt)) => {
                 let demand = self.ledger.borrow().demand(now);
                 let request = Request { prompt, aim: job.route.aim, gap: job.route.gap, profile };
-                place_prompt(&request, &candidates, &demand)
+                place_prompt(&request, &candidates, &demand, self.unseen(&demand))
             }
             _ => place_plain(&candidates, rand::random()),
         }
     }
 
+    /// Returns how many short prompts the other daemons have placed since they last told of theirs.
+    fn unseen(&self, demand: &Demand) -> f64 {
+        let peers = self.peers.borrow().alive(self.now());
+        let others = peers as f64 / (peers + 1) as f64;
+        demand.short * others * peer::interval(peers).as_secs_f64()
+    }
+
     /// Returns the servers that may get a request; those that fail only where no other is left.
     fn candidates(&self, job: &Job, tried: &[runner::Id], now: Moment) -> Vec<Candidate> {
         let fleet = self.fleet.borrow();
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -21,7 +21,7 @@
 /// Longest time between two reports of a daemon.
 const MOST_INTERVAL: Duration = Duration::from_millis(250);
 /// Added to the interval for each peer, so that reports that arrive stay about as many.
-const INTERVAL_PER_PEER: Duration = Duration::from_millis(10);
+const INTERVAL_PER_PEER: Duration = Duration::from_millis(4);
 /// Most bytes of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 /// Most suspects in a report.
@@ -47,15 +47,16 @@
             () = tokio::time::sleep_until(next) => {
                 sequence += 1;
                 send(&gateway, &socket, incarnation, sequence).await;
-                next = tokio::time::Instant::now() + interval(&gateway);
+                let peers = gateway.peers().borrow().len();
+                next = tokio::time::Instant::now() + interval(peers);
             }
         }
     }
 }
 
-fn interval(gateway: &Gateway) -> Duration {
-    let peers = gateway.peers().borrow().len() as u32;
-    (INTERVAL_PER_PEER * peers).clamp(LEAST_INTERVAL, MOST_INTERVAL)
+/// Returns the time between two reports of a daemon that has `peers`.
+pub fn interval(peers: usize) -> Duration {
+    (INTERVAL_PER_PEER * peers as u32).clamp(LEAST_INTERVAL, MOST_INTERVAL)
 }
 
 async fn send(gateway: &Gateway, socket: &UdpSocket, incarnation: u64, sequence: u64) {
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -10,6 +10,7 @@
 mod message;
 mod table;
 
+pub use exchange::interval;
 pub use exchange::run;
 pub use fetch::serve;
 pub use message::Count;
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -31,6 +31,8 @@
 const OTHER_DIVISION_COST: f64 = 0.3;
 /// Part of the short prompts that come while a server reads a long one and are late for it.
 const DISPLACED_PART: f64 = 0.3;
+/// Servers of which a short prompt gets the cheapest.
+const SAMPLE: usize = 4;
 /// Cost of each server that takes part, in worth.
 const PART_COST: f64 = 0.02;
 
@@ -65,6 +67,7 @@
     request: &Request<'_>,
     candidates: &[Candidate],
     demand: &Demand,
+    unseen: f64,
 ) -> Option<Placement> {
     let division = Division::of(candidates, demand);
     if request.memory().get() as f64 > request.profile.memory.get() as f64 * ALONE_PART {
@@ -73,7 +76,7 @@
     if is_long(request.prompt, request.profile) {
         place_long(request, &division, demand)
     } else {
-        place_short(request, &division)
+        place_short(request, &division, unseen)
     }
 }
 
@@ -113,7 +116,9 @@
     }
 }
 
-fn place_short(request: &Request<'_>, division: &Division<'_>) -> Option<Placement> {
+/// Chooses the server of a short prompt. `unseen` is how many requests the other daemons have
+/// placed since they last told of theirs.
+fn place_short(request: &Request<'_>, division: &Division<'_>, unseen: f64) -> Option<Placement> {
     let read_ms = request.read_ms();
     let cost = |c: &Candidate| {
         let first_ms = c.load.unread_ms + read_ms;
@@ -123,7 +128,9 @@
     };
     let short = division.short.iter().map(|c| (*c, cost(c)));
     let long = division.long.iter().map(|c| (*c, cost(c) + OTHER_DIVISION_COST));
-    let (chosen, _) = short.chain(long).min_by(|a, b| a.1.total_cmp(&b.1))?;
+    let mut costs: Vec<(&Candidate, f64)> = short.chain(long).collect();
+    costs.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let chosen = sample(&costs, unseen)?;
     Some(Placement {
         server: chosen.id.clone(),
         helpers: Vec::new(),
@@ -134,6 +141,15 @@
     })
 }
 
+/// Returns the cheapest of a few servers drawn from the cheapest ones, as many as other daemons
+/// may have chosen meanwhile: daemons that see the same loads do not all choose the same server.
+fn sample<'a>(costs: &[(&'a Candidate, f64)], unseen: f64) -> Option<&'a Candidate> {
+    let among = costs.len().min(1 + unseen.ceil() as usize);
+    let draws = (0..SAMPLE).map(|_| rand::random_range(0..among.max(1)));
+    let first = if among <= SAMPLE { 0 } else { draws.min().unwrap_or(0) };
+    costs.get(first).map(|(c, _)| *c)
+}
+
 /// Chooses how many servers read a long prompt, and which.
 fn place_long(
     request: &Request<'_>,
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -59,6 +59,8 @@
     sends: u32,
     first: Option<Moment>,
     last: Moment,
+    /// Pieces of whole events passed on.
+    pieces: u32,
     /// Longest pause between events so far.
     longest_gap: Duration,
     ended: bool,
@@ -82,6 +84,7 @@
         sends: 1,
         first: None,
         last,
+        pieces: 0,
         longest_gap: Duration::ZERO,
         ended: false,
     };
@@ -152,6 +155,7 @@
         if events.is_empty() {
             return None;
         }
+        self.pieces += 1;
         if self.first.is_none() {
             self.first = Some(self.last);
             self.gateway.metrics().first_event(self.last.since(self.job.arrived));
@@ -191,7 +195,7 @@
     fn break_off(&mut self) -> Result<Bytes, Broken> {
         self.ended = true;
         info!(
-            target: "request", id = self.job.ask.id, sends = self.sends,
+            target: "request", id = self.job.ask.id, sends = self.sends, pieces = self.pieces,
             ms = self.gateway.now().since(self.job.arrived).as_millis() as u64;
             "stream broken off"
         );
@@ -242,7 +246,8 @@
     fn drop(&mut self) {
         if !self.ended {
             info!(
-                target: "request", id = self.job.ask.id,
+                target: "request", id = self.job.ask.id, pieces = self.pieces,
+                silent_ms = self.gateway.now().since(self.last).as_millis() as u64,
                 ms = self.gateway.now().since(self.job.arrived).as_millis() as u64;
                 "caller left"
             );
--- a/crates/gateway/tests/joint.rs
+++ b/crates/gateway/tests/joint.rs
@@ -50,7 +50,7 @@
         gap: Duration::from_millis(800),
         profile: &PROFILE,
     };
-    place_prompt(&request, &candidates, demand)
+    place_prompt(&request, &candidates, demand, 0.0)
 }
 
 fn busy() -> Load {
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -47,7 +47,7 @@
         gap: Duration::from_millis(gap_ms),
         profile: &PROFILE,
     };
-    place_prompt(&request, candidates, &Demand::default()).unwrap()
+    place_prompt(&request, candidates, &Demand::default(), 0.0).unwrap()
 }
 
 fn load<'a>(candidates: &'a [Candidate], placement: &Placement) -> &'a Load {
