--- a/crates/gateway/src/fleet/table.rs
+++ b/crates/gateway/src/fleet/table.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use kumquattiller_base::runner;
@@ -157,6 +158,11 @@
         self.members.keys()
     }
 
+    /// Returns the server at an address.
+    pub fn at(&self, address: SocketAddr) -> Option<&runner::Id> {
+        self.members.values().find(|m| m.server.address == address).map(|m| &m.server.id)
+    }
+
     /// Returns a server.
     pub fn server(&self, id: &runner::Id) -> Option<&Server> {
         self.members.get(id).map(|m| &m.server)
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -1,6 +1,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -23,6 +24,7 @@
 use crate::health::Outcome;
 use crate::http::Pool;
 use crate::load::Ledger;
+use crate::load::key_of;
 use crate::observe::Metrics;
 use crate::observe::State;
 use crate::peer;
@@ -125,6 +127,11 @@
         &self.peers
     }
 
+    /// Returns the health of servers.
+    pub const fn health(&self) -> &RefCell<Health> {
+        &self.health
+    }
+
     /// Returns the idle connections.
     pub const fn pool(&self) -> &Pool {
         &self.pool
@@ -249,6 +256,28 @@
         }
     }
 
+    /// Takes in the short forms of servers of which a peer was told that they take no part.
+    pub fn tell_without_part(&self, keys: &[u64]) {
+        if keys.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let fleet = self.fleet.borrow();
+        let mut health = self.health.borrow_mut();
+        for id in fleet.ids().filter(|id| keys.contains(&key_of(id))) {
+            health.tell_without_part(id, now);
+        }
+    }
+
+    /// Notes that the server at an address is said to take no part.
+    pub fn note_at_fault(&self, address: SocketAddr) {
+        let id = self.fleet.borrow().at(address).cloned();
+        match id {
+            Some(id) => self.note_health(&id, Outcome::NoPart),
+            None => info!(target: "fleet", address:%; "the server at fault is not known"),
+        }
+    }
+
     /// Forgets what is too old, once.
     pub fn tidy(&self) {
         let now = self.now();
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -13,6 +13,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(700);
 /// Longest time that a server is set aside for.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// How long a server is set aside that is said to take no part.
+const NO_PART_PAUSE: Duration = Duration::from_secs(3);
+/// How long what a peer tells of it counts; the peer repeats it.
+const TOLD_PAUSE: Duration = Duration::from_millis(500);
 /// Weight of the latest answer in a server's share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Share of failures beyond that of the other servers at which a server is set aside.
@@ -30,6 +34,8 @@
     Failed,
     /// It refused the request for lack of room.
     Full,
+    /// Another server says that it takes no part: it is leaving, gone or full of others' prompts.
+    NoPart,
     /// No connection could be opened.
     Unreachable,
     /// The connection broke before the whole answer.
@@ -41,6 +47,9 @@
 #[derive(Debug, Default)]
 struct Record {
     aside_until: Moment,
+    no_part_until: Moment,
+    /// The same as a peer tells it.
+    told_until: Moment,
     in_a_row: u32,
     answers: u32,
     failures: f64,
@@ -76,6 +85,10 @@
                 record.answer(1.0);
                 return None;
             }
+            Outcome::NoPart => {
+                record.no_part_until = now + NO_PART_PAUSE;
+                return Some(NO_PART_PAUSE);
+            }
             Outcome::Unreachable | Outcome::Broken | Outcome::Silent => record.answer(1.0),
         }
         Some(record.set_aside(now))
@@ -83,7 +96,20 @@
 
     /// Tells whether a server may get new work.
     pub fn is_usable(&self, server: &runner::Id, now: Moment) -> bool {
-        self.records.get(server).is_none_or(|r| r.aside_until <= now)
+        self.records
+            .get(server)
+            .is_none_or(|r| r.aside_until.max(r.no_part_until).max(r.told_until) <= now)
+    }
+
+    /// Returns the servers of which this daemon was told that they take no part, for the peers.
+    pub fn without_part(&self, now: Moment) -> impl Iterator<Item = &runner::Id> {
+        self.records.iter().filter(move |(_, r)| r.no_part_until > now).map(|(id, _)| id)
+    }
+
+    /// Takes in that a peer was told that a server takes no part.
+    pub fn tell_without_part(&mut self, server: &runner::Id, now: Moment) {
+        let record = self.records.entry(server.clone()).or_default();
+        record.told_until = now + TOLD_PAUSE;
     }
 
     /// Returns a server's share of failures, 0 to 1.
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -208,6 +208,9 @@
         }
         Verdict::NotRun => {
             flight.not_run(answered.head.status);
+            if let Some(address) = answered.answer.at_fault {
+                gateway.note_at_fault(address);
+            }
             let _ = whole(gateway, job, answered).await;
             Ended::NotRun
         }
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -87,6 +87,7 @@
         incarnation,
         version: gateway.version().get(),
         loads,
+        without_part: gateway.health().borrow().without_part(now).map(key_of).collect(),
         leaving: gateway.fleet().borrow().leaving_keys(),
         suspects: suspects.into_iter().map(|(f, deaths)| count(f, deaths)).collect(),
     }
@@ -127,6 +128,7 @@
     for id in gateway.fleet().borrow_mut().tell_leaving(&report.leaving) {
         log::info!(target: "fleet", server:% = id, from:%; "a peer saw the server leave");
     }
+    gateway.tell_without_part(&report.without_part);
     if report.version > gateway.version().get() {
         fetch::start(gateway, from);
     }
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -87,6 +87,9 @@
     /// Short forms of servers that it saw leaving, each with its start.
     #[prost(fixed64, repeated, tag = "6")]
     pub leaving: Vec<u64>,
+    /// Short forms of servers that are said to take no part in requests.
+    #[prost(fixed64, repeated, tag = "10")]
+    pub without_part: Vec<u64>,
     /// Requests that broke servers.
     #[prost(message, repeated, tag = "7")]
     pub suspects: Vec<Count>,
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -233,6 +233,9 @@
                         return true;
                     }
                     flight.failed(head.status);
+                    if let Some(address) = answer.at_fault {
+                        self.gateway.note_at_fault(address);
+                    }
                 }
                 Some(Sent::Unsent(error)) => flight.note_error(Outcome::Unreachable, &error),
                 Some(Sent::Lost(error)) => flight.note_error(Outcome::Broken, &error),
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -161,3 +161,18 @@
     stop.ask(Moment::ZERO);
     assert_eq!(stop.phase(Moment::from_millis(after_ms)), expected);
 }
+
+/// Played by scale_in while the store is down: the daemons learn of a leaving helper only from a
+/// server that could not use it.
+#[test]
+fn a_server_that_takes_no_part_is_set_aside_here_and_at_the_peers() {
+    let (mut here, mut there) = (Health::default(), Health::default());
+    assert!(here.note(&id(), Outcome::NoPart, Moment::ZERO).is_some());
+    assert!(!here.is_usable(&id(), Moment::from_millis(2_000)));
+    for server in here.without_part(Moment::ZERO) {
+        there.tell_without_part(server, Moment::ZERO);
+    }
+    assert!(!there.is_usable(&id(), Moment::from_millis(400)));
+    assert!(there.is_usable(&id(), Moment::from_millis(600)));
+    assert_eq!(there.without_part(Moment::ZERO).count(), 0);
+}
