--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use kumquattiller_base::time::Moment;
 use log::error;
 use log::info;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -50,6 +51,7 @@
     pub(super) budgets: RefCell<HashMap<service::Name, Budget>>,
     pub(super) peers: RefCell<peer::Table>,
     fetching: Cell<bool>,
+    announcement: Notify,
     pool: Pool,
     pub(super) metrics: Metrics,
     stop: Cell<Stop>,
@@ -81,6 +83,7 @@
             budgets: RefCell::default(),
             peers: RefCell::default(),
             fetching: Cell::new(false),
+            announcement: Notify::new(),
             pool: Pool::default(),
             metrics: Metrics::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -236,6 +239,16 @@
         }
     }
 
+    /// Asks that the peers are told at once of what this daemon has in flight.
+    pub fn announce(&self) {
+        self.announcement.notify_one();
+    }
+
+    /// Waits until the peers are to be told at once.
+    pub async fn wait_announcement(&self) {
+        self.announcement.notified().await;
+    }
+
     /// Claims the one fetch of a configuration that may run; returns false when one runs.
     pub fn begin_fetch(&self) -> bool {
         !self.fetching.replace(true)
--- a/crates/gateway/src/gateway/waits.rs
+++ b/crates/gateway/src/gateway/waits.rs
@@ -19,6 +19,9 @@
 const FIRST_EVENT_WAIT: Duration = Duration::from_millis(1_200);
 /// How many times its expected reading a stream waits for its first event before it is moved.
 const FIRST_EVENT_FACTOR: f64 = 3.0;
+/// How many times its aim a stream waits for its first event before it is moved: what was read of
+/// its prompt is lost with a move.
+const AIM_FACTOR: f64 = 1.5;
 /// How many times its longest good pause a stream waits for its next event before it is moved.
 const GAP_FACTOR: u32 = 3;
 
@@ -32,7 +35,8 @@
         let now = self.now();
         let span = if job.route.streaming {
             let expected = flight.placement().first_ms / 1e3 * FIRST_EVENT_FACTOR;
-            FIRST_EVENT_WAIT + Duration::from_secs_f64(expected)
+            let usual = FIRST_EVENT_WAIT + Duration::from_secs_f64(expected);
+            usual.max(job.route.aim.mul_f64(AIM_FACTOR))
         } else {
             job.left(now).mul_f64(PLAIN_WAIT_PART)
         };
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -44,6 +44,10 @@
                 Ok((length, from)) => take(&gateway, &buffer[..length], from),
                 Err(error) => warn!(target: "peer", error:%; "a datagram could not be received"),
             },
+            () = gateway.wait_announcement() => {
+                sequence += 1;
+                send(&gateway, &socket, incarnation, sequence).await;
+            }
             () = tokio::time::sleep_until(next) => {
                 sequence += 1;
                 send(&gateway, &socket, incarnation, sequence).await;
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -33,6 +33,8 @@
 const DISPLACED_PART: f64 = 0.3;
 /// Servers of which a short prompt gets the cheapest.
 const SAMPLE: usize = 4;
+/// Most that chance adds to the cost of a server for a long prompt, in worth.
+const JITTER_COST: f64 = 0.1;
 /// Cost of each server that takes part, in worth.
 const PART_COST: f64 = 0.02;
 
@@ -170,18 +172,16 @@
 ) -> Option<(Placement, f64)> {
     let part_ms = request.read_ms() / parts as f64;
     let displaced = displaced(division, demand, part_ms);
-    let long = division.long.iter().map(|c| (*c, reader_cost(request, c, part_ms)));
+    let long = division.long.iter().map(|c| (*c, reader_cost(request, c, part_ms) + jitter()));
     let short = division.short.iter().map(|c| {
         let busy = c.load.unread_ms + part_ms > HARMLESS_MS;
-        (*c, reader_cost(request, c, part_ms) + if busy { displaced } else { 0.0 })
+        (*c, reader_cost(request, c, part_ms) + jitter() + if busy { displaced } else { 0.0 })
     });
     let mut readers: Vec<(&Candidate, f64)> = long.chain(short).collect();
     readers.sort_by(|a, b| a.1.total_cmp(&b.1));
     readers.truncate(parts);
-    let by_own_cost = |a: &&(&Candidate, f64), b: &&(&Candidate, f64)| {
-        request.cost(a.0, part_ms).total_cmp(&request.cost(b.0, part_ms))
-    };
-    let (first, _) = *readers.iter().min_by(by_own_cost)?;
+    let own_costs = readers.iter().map(|(c, _)| (*c, request.cost(c, part_ms) + jitter()));
+    let (first, _) = own_costs.min_by(|a, b| a.1.total_cmp(&b.1))?;
     let wait = readers.iter().map(|(c, _)| c.load.unread_ms).fold(0.0, f64::max);
     let first_ms = wait + part_ms;
     let read_cost: f64 = readers.iter().map(|(_, cost)| cost).sum();
@@ -198,6 +198,11 @@
     Some((placement, cost))
 }
 
+/// Returns a small random cost, so that daemons that see the same loads choose differently.
+fn jitter() -> f64 {
+    rand::random::<f64>() * JITTER_COST
+}
+
 /// Returns what reading a part at a server costs: the streams there, and the wait.
 pub fn reader_cost(request: &Request<'_>, candidate: &Candidate, part_ms: f64) -> f64 {
     price::harm(request.profile, candidate, part_ms)
--- a/crates/gateway/src/relay/flight.rs
+++ b/crates/gateway/src/relay/flight.rs
@@ -11,6 +11,7 @@
 use crate::http::Job;
 use crate::load::Key;
 use crate::placement::Placement;
+use crate::placement::Reason;
 use crate::ticket::Tickets;
 
 /// A request that is at a server. Dropping it takes the request out of the load.
@@ -38,6 +39,9 @@
         let now = gateway.now();
         let key = gateway.ledger().borrow_mut().start(gateway.works(job, placement), now);
         let helpers = gateway.helpers(placement, tickets.as_ref());
+        if placement.reason != Reason::FewestRequests && placement.reason != Reason::ShortDivision {
+            gateway.announce();
+        }
         info!(
             target: "request", id = job.ask.id, server:% = placement.server,
             reason:% = placement.reason, helpers:% = placement.helper_names(),
