--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -1,5 +1,6 @@
 //! The budget, the placement and the load of a request.
 
+use kumquattiller_base::error::Kind;
 use kumquattiller_base::runner;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
@@ -74,6 +75,13 @@
         }
     }
 
+    /// Returns why a request was not placed: its service has no server, or the servers' memory
+    /// does not hold its prompt beside what they do.
+    pub fn no_placement(&self, job: &Job) -> Kind {
+        let none = self.fleet.borrow().usable(&job.service.name).is_empty();
+        if none { Kind::NoRunner } else { Kind::MemoryFull }
+    }
+
     /// Returns how many short prompts the other daemons have placed since they last told of theirs.
     fn unseen(&self, demand: &Demand) -> f64 {
         let peers = self.peers.borrow().alive(self.now());
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -97,7 +97,7 @@
     let mut tried = Vec::new();
     loop {
         let Some(placement) = gateway.place(job, &tried) else {
-            return Err(refuse(attempt, Kind::NoRunner));
+            return Err(refuse(attempt, gateway.no_placement(job)));
         };
         let tickets = if placement.holders.is_empty() {
             None
