--- a/crates/gateway/src/gateway/waits.rs
+++ b/crates/gateway/src/gateway/waits.rs
@@ -43,9 +43,17 @@
         job.end.min(now + span)
     }
 
-    /// Returns until when the next event of a stream is waited for, whose last came at `last`.
-    pub fn event_wait(&self, job: &Job, last: Moment) -> Moment {
-        last + SERVER_SILENCE.max(job.route.gap * GAP_FACTOR)
+    /// Returns until when the next event of a stream is waited for, whose last came at `last` and
+    /// that has been sent `sends` times. A server that reads a long prompt writes nothing
+    /// meanwhile, and a stream that may not go on elsewhere is waited for to its end.
+    pub fn event_wait(&self, job: &Job, flight: &Flight, last: Moment, sends: u32) -> Moment {
+        if job.route.repeat != Repeat::Rest || sends >= job.route.max_attempts {
+            return job.end;
+        }
+        let server = &flight.placement().server;
+        let load = self.ledger.borrow().view(server, self.now());
+        let reading = Duration::from_secs_f64(load.unread_ms / 1e3);
+        last + SERVER_SILENCE.max(job.route.gap * GAP_FACTOR) + reading
     }
 
     /// Returns until when a server that has work counts as alive without saying more.
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -8,6 +8,7 @@
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
 use log::info;
 
@@ -56,6 +57,8 @@
     job: Rc<Job>,
     part: Option<Part>,
     splitter: Splitter,
+    /// Servers that it was sent to.
+    tried: Vec<runner::Id>,
     sends: u32,
     first: Option<Moment>,
     last: Moment,
@@ -77,6 +80,7 @@
     let headers = gateway.dialect().answer_headers(&head.headers);
     let last = gateway.now();
     let relay = Relay {
+        tried: vec![flight.placement().server.clone()],
         gateway,
         job,
         part: Some(Part { flight, connection, answer, body }),
@@ -108,7 +112,7 @@
                 }
                 return Some(self.break_off());
             };
-            let wait = self.gateway.event_wait(&self.job, self.last);
+            let wait = self.gateway.event_wait(&self.job, &part.flight, self.last, self.sends);
             match next(&self.gateway, &self.job, part, wait).await {
                 Next::Bytes(bytes) => match self.take(&bytes) {
                     Some(events) => return Some(Ok(events)),
@@ -211,9 +215,11 @@
             if !allowed || !self.gateway.may_resend(&self.job) {
                 return false;
             }
-            let Some(placement) = self.gateway.place(&self.job, &[]) else {
+            let elsewhere = self.gateway.place(&self.job, &self.tried);
+            let Some(placement) = elsewhere.or_else(|| self.gateway.place(&self.job, &[])) else {
                 return false;
             };
+            self.tried.push(placement.server.clone());
             let flight = Flight::start(&self.gateway, &self.job, &placement, None);
             self.sends += 1;
             let Some(server) = flight.server() else {
