--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use kumquattiller_base::runner;
@@ -212,6 +213,11 @@
         self.stop.get().phase(self.now())
     }
 
+    /// Tells whether a request that is expected to last so long may begin here.
+    pub fn takes(&self, expected: Duration) -> bool {
+        self.stop.get().takes(expected, self.now())
+    }
+
     /// Begins the graceful stop and returns when what ran has ended or the grace is over.
     pub async fn finish(&self) {
         let mut stop = self.stop.get();
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -22,10 +22,10 @@
 use crate::config::Config;
 use crate::config::Denied;
 use crate::config::Route;
+use crate::config::Service;
 use crate::dialect::Ask;
 use crate::http::Job;
 use crate::http::Refusal;
-use crate::stop::Phase;
 
 /// When to come again where this daemon has no configuration yet.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
@@ -45,9 +45,6 @@
     let Some(config) = gateway.config() else {
         return Err(refuse(Kind::NoConfiguration, NO_CONFIGURATION_RETRY));
     };
-    if matches!(gateway.phase(), Phase::Finishing | Phase::Over) {
-        return Err(refuse(Kind::Stopping, STOPPING_RETRY));
-    }
     let host = head.uri.host().or_else(|| head.headers.get(header::HOST)?.to_str().ok());
     let (route, account) = match allow(&config, host, head.uri.path(), ask.key.as_deref()) {
         Ok(allowed) => allowed,
@@ -59,6 +56,9 @@
         return Err(refuse(Kind::NoRunner, NO_SERVICE_RETRY));
     };
     let span = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+    if !gateway.takes(expected(ask, &service, span)) {
+        return Err(refuse(Kind::Stopping, STOPPING_RETRY));
+    }
     let body = match read(body, &config, span).await {
         Ok(body) => body,
         Err(kind) => return Err(Refusal::denied(kind)),
@@ -86,6 +86,16 @@
     Attempt::first(request::Id::from_u128(rand::random()))
 }
 
+/// Returns how long a request is expected to last: a stream as its longest answer is written at
+/// an engine with other work, any other one as long as its caller waits.
+fn expected(ask: &Ask, service: &Service, span: Duration) -> Duration {
+    let (Some(profile), Some(prompt)) = (&service.engine, &ask.prompt) else {
+        return span.min(Duration::from_secs(1));
+    };
+    let write_ms = prompt.answer.get() as f64 * profile.step_ms;
+    Duration::from_secs_f64((profile.read_ms(prompt.tokens) + write_ms) / 1e3).min(span)
+}
+
 fn refuse(kind: Kind, retry_after: Duration) -> Refusal {
     match attempt().not_started() {
         Some(proof) => Refusal::not_run(proof, kind, retry_after),
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -150,6 +150,22 @@
     assert_eq!(judge("r", StatusCode::from_u16(status).unwrap(), &answer), expected);
 }
 
+/// Found by an incident on amoy-hotline: all daemons were stopped 1.3 s one after the other, and
+/// each refused 60 requests of 2 s in its last five seconds.
+#[test_case(0, 5_000, true; "any at once")]
+#[test_case(3_000, 600, true; "a short one while finishing")]
+#[test_case(3_000, 2_000, true; "a stream that fits twice")]
+#[test_case(3_000, 2_500, false; "a stream that may not fit")]
+#[test_case(7_000, 600, false; "a short one near the end")]
+#[test_case(7_800, 1, false; "none at the end")]
+fn takes(after_ms: u64, expected_ms: u64, expected: bool) {
+    let mut stop = Stop::new(Duration::from_secs(8));
+    assert!(stop.takes(Duration::from_secs(60), Moment::ZERO));
+    stop.ask(Moment::ZERO);
+    let taken = stop.takes(Duration::from_millis(expected_ms), Moment::from_millis(after_ms));
+    assert_eq!(taken, expected);
+}
+
 #[test_case(0, Phase::Noticing; "at once")]
 #[test_case(2_500, Phase::Noticing; "while the balancer notices")]
 #[test_case(3_000, Phase::Finishing; "after two missed checks")]
