--- a/crates/gateway/src/config/mod.rs
+++ b/crates/gateway/src/config/mod.rs
@@ -4,7 +4,8 @@
 mod route;
 mod service;
 mod table;
-mod version;
+
+pub use kumquattiller_inventory::Version;
 
 pub use limits::Limits;
 pub use route::Repeat;
@@ -14,4 +15,3 @@
 pub use table::Account;
 pub use table::Config;
 pub use table::Denied;
-pub use version::Version;
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use kumquattiller_base::runner;
 use kumquattiller_base::service;
 use kumquattiller_base::time::Moment;
+use kumquattiller_link::Clock;
 use log::error;
 use log::info;
 use tokio::sync::Notify;
@@ -16,7 +17,6 @@
 use tokio::time::Instant;
 
 use crate::budget::Budget;
-use crate::clock::Clock;
 use crate::config::Config;
 use crate::config::Version;
 use crate::dialect::Dialect;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,6 @@
 //! over a wait.
 
 pub mod budget;
-pub mod clock;
 pub mod config;
 pub mod dialect;
 pub mod engine;
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/testsuite/decisions.rs
@@ -20,22 +20,15 @@
 use proptest::prelude::*;
 use test_case::test_case;
 
+use crate::support::cases;
+
 /// Seed of the cases in CI.
 const SEED: u64 = 0x5eed_0102;
 
 const BOUNDS: Bounds = Bounds { ratio: 0.2, extra: 100.0, window: Duration::from_secs(10) };
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 100,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(cases(SEED))]
 
     /// Three daemons that spend all they may stay under the bound in every window.
     #[test]
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/testsuite/events.rs
@@ -3,24 +3,17 @@
 use kumquattiller_gateway::events::Splitter;
 use proptest::prelude::*;
 
+use crate::support::cases;
+
 /// Seed of the cases in CI.
 const SEED: u64 = 0x5eed_0101;
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 200,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 fn stream(events: usize, end: &str) -> Vec<u8> {
     (0..events).map(|n| format!("id: {n}{end}data: token {n}{end}{end}")).collect::<String>().into()
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(cases(SEED))]
 
     #[test]
     fn pieces_join_to_the_stream(
--- a/crates/gateway/tests/joint.rs
+++ b/crates/gateway/tests/testsuite/joint.rs
@@ -4,7 +4,6 @@
 
 use kumquattiller_base::size::Tokens;
 use kumquattiller_gateway::dialect::Prompt;
-use kumquattiller_gateway::engine::Profile;
 use kumquattiller_gateway::load::Demand;
 use kumquattiller_gateway::load::Load;
 use kumquattiller_gateway::load::Streams;
@@ -15,30 +14,12 @@
 use kumquattiller_gateway::placement::place_prompt;
 use proptest::prelude::*;
 
+use crate::support::PROFILE;
+use crate::support::cases;
+
 /// Seed of the cases in CI.
 const SEED: u64 = 0x5eed_0104;
 
-const PROFILE: Profile = Profile {
-    slots: 16,
-    memory: Tokens::new(450_000),
-    step_ms: 0.925,
-    step_ms_per_writer: 0.00483,
-    context_ms_per_k: 0.00254,
-    read_tokens_per_ms: 256.0,
-    pairs_ms_per_m: 0.0917,
-    chunk: Tokens::new(2_048),
-    stride: 46,
-};
-
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 200,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 fn place(tokens: u64, loads: &[Load], demand: &Demand) -> Option<Placement> {
     let name = |n: usize| format!("server-{n}").parse().unwrap();
     let candidates: Vec<Candidate> =
@@ -60,7 +41,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(cases(SEED))]
 
     /// What is held elsewhere and what the first server has free hold the whole prompt, and no
     /// server is asked for more than it has.
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/testsuite/load.rs
@@ -13,18 +13,11 @@
 use kumquattiller_gateway::load::key_of;
 use proptest::prelude::*;
 
+use crate::support::cases;
+
 /// Seed of the cases in CI.
 const SEED: u64 = 0x5eed_0103;
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 100,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 fn id(n: usize) -> runner::Id {
     format!("server-{n}").parse().unwrap()
 }
@@ -42,7 +35,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(cases(SEED))]
 
     /// Whatever order requests begin, are read and end in, nothing is left when all have ended.
     #[test]
--- /dev/null
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -0,0 +1,10 @@
+//! The gateway's decisions, without a network.
+
+mod config;
+mod decisions;
+mod events;
+mod fleet;
+mod joint;
+mod load;
+mod placement;
+mod support;
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/testsuite/placement.rs
@@ -4,7 +4,6 @@
 
 use kumquattiller_base::size::Tokens;
 use kumquattiller_gateway::dialect::Prompt;
-use kumquattiller_gateway::engine::Profile;
 use kumquattiller_gateway::load::Demand;
 use kumquattiller_gateway::load::Load;
 use kumquattiller_gateway::load::Streams;
@@ -15,17 +14,7 @@
 use kumquattiller_gateway::placement::place_plain;
 use kumquattiller_gateway::placement::place_prompt;
 
-const PROFILE: Profile = Profile {
-    slots: 16,
-    memory: Tokens::new(450_000),
-    step_ms: 0.925,
-    step_ms_per_writer: 0.00483,
-    context_ms_per_k: 0.00254,
-    read_tokens_per_ms: 256.0,
-    pairs_ms_per_m: 0.0917,
-    chunk: Tokens::new(2_048),
-    stride: 46,
-};
+use crate::support::PROFILE;
 
 /// Returns a server that writes `count` streams with short pauses.
 fn writing(count: u32) -> Load {
--- /dev/null
+++ b/crates/gateway/tests/testsuite/support.rs
@@ -0,0 +1,32 @@
+//! What several topics share.
+
+use kumquattiller_base::size::Tokens;
+use kumquattiller_gateway::engine::Profile;
+use proptest::prelude::ProptestConfig;
+use proptest::test_runner::RngSeed;
+
+/// Cases of a property.
+const CASES: u32 = 200;
+
+/// An engine of the users' platform.
+pub const PROFILE: Profile = Profile {
+    slots: 16,
+    memory: Tokens::new(450_000),
+    step_ms: 0.925,
+    step_ms_per_writer: 0.00483,
+    context_ms_per_k: 0.00254,
+    read_tokens_per_ms: 256.0,
+    pairs_ms_per_m: 0.0917,
+    chunk: Tokens::new(2_048),
+    stride: 46,
+};
+
+/// Returns the settings of properties with a fixed seed.
+pub fn cases(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
