--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -218,6 +218,16 @@
         self.stop.get().takes(expected, self.now())
     }
 
+    /// Returns when a caller that is refused for the stop may come again: at once where another
+    /// daemon takes requests, else when this one is back.
+    pub fn stop_retry(&self) -> Duration {
+        let now = self.now();
+        if self.peers.borrow().is_any_serving(now) {
+            return Duration::ZERO;
+        }
+        self.stop.get().back_after(now)
+    }
+
     /// Begins the graceful stop and returns when what ran has ended or the grace is over.
     pub async fn finish(&self) {
         let mut stop = self.stop.get();
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -29,8 +29,6 @@
 
 /// When to come again where this daemon has no configuration yet.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
-/// When to come again where this daemon is stopping: at once, at another one.
-const STOPPING_RETRY: Duration = Duration::ZERO;
 /// When to come again where the configuration names a service without saying anything of it.
 const NO_SERVICE_RETRY: Duration = Duration::from_secs(1);
 
@@ -57,7 +55,7 @@
     };
     let span = ask.patience.unwrap_or(route.timeout).min(route.timeout);
     if !gateway.takes(expected(ask, &service, span)) {
-        return Err(refuse(Kind::Stopping, STOPPING_RETRY));
+        return Err(refuse(Kind::Stopping, gateway.stop_retry()));
     }
     let body = match read(body, &config, span).await {
         Ok(body) => body,
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -63,7 +63,8 @@
         Ok(job) => Rc::new(job),
         Err(refusal) => {
             info!(
-                target: "request", id = ask.id, kind:% = refusal.kind, version:% = gateway.version();
+                target: "request", id = ask.id, kind:% = refusal.kind, version:% = gateway.version(),
+                answer = ask.prompt.map_or(0, |p| p.answer.get()), phase:% = gateway.phase();
                 "refused at admission"
             );
             gateway.metrics().refused(refusal.kind);
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -15,6 +15,7 @@
 use crate::peer::Load;
 use crate::peer::Report;
 use crate::peer::fetch;
+use crate::stop::Phase;
 
 /// Shortest time between two reports of a daemon.
 const LEAST_INTERVAL: Duration = Duration::from_millis(50);
@@ -91,6 +92,7 @@
         incarnation,
         version: gateway.version().get(),
         loads,
+        stopping: gateway.phase() != Phase::Serving,
         without_part: gateway.health().borrow().without_part(now).map(key_of).collect(),
         leaving: gateway.fleet().borrow().leaving_keys(),
         suspects: suspects.into_iter().map(|(f, deaths)| count(f, deaths)).collect(),
@@ -121,6 +123,7 @@
     if !fresh {
         return;
     }
+    gateway.peers().borrow_mut().set_stopping(&id, report.stopping);
     let loads = report.loads.iter().map(|load| (load.server, load.into())).collect();
     let demand =
         Demand { long_ms: f64::from(report.demand_long_ms), short: f64::from(report.demand_short) };
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -90,6 +90,9 @@
     /// Short forms of servers that are said to take no part in requests.
     #[prost(fixed64, repeated, tag = "10")]
     pub without_part: Vec<u64>,
+    /// Whether it is stopping.
+    #[prost(bool, tag = "11")]
+    pub stopping: bool,
     /// Requests that broke servers.
     #[prost(message, repeated, tag = "7")]
     pub suspects: Vec<Count>,
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -20,6 +20,7 @@
     told: Option<Moment>,
     incarnation: u64,
     sequence: u64,
+    stopping: bool,
 }
 
 /// The other daemons, as registered and as heard of.
@@ -82,6 +83,18 @@
         due
     }
 
+    /// Notes whether a peer is stopping.
+    pub fn set_stopping(&mut self, id: &daemon::Id, stopping: bool) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.stopping = stopping;
+        }
+    }
+
+    /// Tells whether a peer takes requests.
+    pub fn is_any_serving(&self, now: Moment) -> bool {
+        self.peers.values().any(|p| p.is_alive(now) && !p.stopping)
+    }
+
     /// Returns how many peers are alive.
     pub fn alive(&self, now: Moment) -> usize {
         self.peers.values().filter(|p| p.is_alive(now)).count()
@@ -100,7 +113,15 @@
 
 impl Peer {
     const fn new(address: SocketAddr) -> Self {
-        Self { address, registered: false, heard: None, told: None, incarnation: 0, sequence: 0 }
+        Self {
+            address,
+            registered: false,
+            heard: None,
+            told: None,
+            incarnation: 0,
+            sequence: 0,
+            stopping: false,
+        }
     }
 
     fn is_alive(&self, now: Moment) -> bool {
--- a/crates/gateway/src/stop/mod.rs
+++ b/crates/gateway/src/stop/mod.rs
@@ -19,6 +19,8 @@
 /// How often a stopping daemon looks whether it may end.
 pub const INTERVAL: Duration = Duration::from_millis(50);
 
+/// Usual time from the end of a process to the readiness of the next one.
+const RESTART: Duration = Duration::from_millis(600);
 /// How many times its expected length a request must fit into the time that is left.
 const FIT_FACTOR: u32 = 2;
 
@@ -65,6 +67,11 @@
         }
     }
 
+    /// Returns how long it takes until the daemon has stopped and started again, at most.
+    pub fn back_after(&self, now: Moment) -> Duration {
+        self.asked.map_or(Duration::ZERO, |asked| (asked + self.grace + RESTART).since(now))
+    }
+
     /// Returns the phase.
     pub fn phase(&self, now: Moment) -> Phase {
         let Some(asked) = self.asked else {
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -6,5 +6,6 @@
 mod fleet;
 mod joint;
 mod load;
+mod peers;
 mod placement;
 mod support;
