gateway: a resumed large prompt reserves its memory; fields that nothing uses are gone

Cause: reading the change: a stream of a prompt larger than an engine was resumed without its reservations and so refused; three decoded fields were read by nobody.

--- a/crates/gateway/src/config/limits.rs
+++ b/crates/gateway/src/config/limits.rs
@@ -9,9 +9,7 @@
     pub header: Bytes,
     /// Most bytes of a request's body.
     pub body: Bytes,
-    /// Longest time to send a head.
-    pub header_timeout: Duration,
-    /// Longest time that a connection may stay idle.
+    /// Longest time that a connection may stay idle, and that a caller may take to send a head.
     pub idle_timeout: Duration,
 }
 
@@ -20,7 +18,6 @@
         Self {
             header: Bytes::new(16 * 1024),
             body: Bytes::new(4 * 1024 * 1024),
-            header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         }
     }
--- a/crates/gateway/src/config/service.rs
+++ b/crates/gateway/src/config/service.rs
@@ -7,8 +7,6 @@
 pub struct Service {
     /// Its name.
     pub name: service::Name,
-    /// Connections that one server takes from all daemons together.
-    pub max_connections: u32,
     /// How its engines work; none for a plain service.
     pub engine: Option<Profile>,
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -35,8 +35,6 @@
     pub patience: Option<Duration>,
     /// The prompt, where the request is for an engine.
     pub prompt: Option<Prompt>,
-    /// How many tokens the caller expects as answer.
-    pub expected_answer: Option<Tokens>,
 }
 
 /// A server that reads a part of a prompt for another one.
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -100,14 +100,8 @@
         let Some(placement) = gateway.place(job, &tried) else {
             return Err(refuse(attempt, gateway.no_placement(job)));
         };
-        let tickets = if placement.holders.is_empty() {
-            None
-        } else {
-            let Some(held) = Tickets::reserve(gateway, &job.ask.id, &placement.holders).await
-            else {
-                return Err(refuse(attempt, Kind::MemoryFull));
-            };
-            Some(held)
+        let Ok(tickets) = Tickets::of(gateway, &job.ask.id, &placement).await else {
+            return Err(refuse(attempt, Kind::MemoryFull));
         };
         tried.push(placement.server.clone());
         let flight = Flight::start(gateway, job, &placement, tickets);
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -28,6 +28,7 @@
 use crate::http::send;
 use crate::relay::Broken;
 use crate::relay::Flight;
+use crate::ticket::Tickets;
 
 /// What came of waiting for more of a stream.
 enum Next {
@@ -220,7 +221,10 @@
                 return false;
             };
             self.tried.push(placement.server.clone());
-            let flight = Flight::start(&self.gateway, &self.job, &placement, None);
+            let Ok(tickets) = Tickets::of(&self.gateway, &self.job.ask.id, &placement).await else {
+                return false;
+            };
+            let flight = Flight::start(&self.gateway, &self.job, &placement, tickets);
             self.sends += 1;
             let Some(server) = flight.server() else {
                 continue;
--- a/crates/gateway/src/ticket.rs
+++ b/crates/gateway/src/ticket.rs
@@ -19,6 +19,7 @@
 use crate::dialect::Reservation;
 use crate::fleet::Server;
 use crate::http::Connection;
+use crate::placement::Placement;
 
 /// How long a reservation lasts without being renewed: less than memory may stay set aside after
 /// its request has ended.
@@ -38,9 +39,29 @@
     renewal: Option<JoinHandle<()>>,
 }
 
+/// A server has no room for its part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoRoom;
+
 impl Tickets {
+    /// Reserves the memory that a placement needs beside its own server; none where it needs none.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a server has no room; then nothing is kept.
+    pub async fn of(
+        gateway: &Rc<Gateway>,
+        request: &str,
+        placement: &Placement,
+    ) -> Result<Option<Self>, NoRoom> {
+        if placement.holders.is_empty() {
+            return Ok(None);
+        }
+        Self::reserve(gateway, request, &placement.holders).await.map(Some).ok_or(NoRoom)
+    }
+
     /// Reserves memory at each server, all or nothing; returns none when one has no room.
-    pub async fn reserve(
+    async fn reserve(
         gateway: &Rc<Gateway>,
         request: &str,
         parts: &[(runner::Id, Tokens)],
