load: memory held for another server stays on the books until its request ends

Cause: found by reading. When any request ended, a server with no request of its own and nothing unread was forgotten although it held memory of a large prompt. With a later request there, the end of the large one took more off than was entered: an underflow, after which the server looked full. Ruled out: nothing else removes entries. Figures: the new test failed first (0 in place of 5,000 tokens). Conclusion: entries with memory are kept.

--- a/crates/gateway/src/load/ledger.rs
+++ b/crates/gateway/src/load/ledger.rs
@@ -124,7 +124,7 @@
                 own.writing -= 1;
             }
         }
-        self.own.retain(|_, own| own.requests > 0 || own.reading_ms > 0.0);
+        self.own.retain(|_, own| own.requests > 0 || own.reading_ms > 0.0 || own.memory > 0);
     }
 
     /// Takes in what a peer says of its own requests.
--- a/crates/gateway/tests/testsuite/load.rs
+++ b/crates/gateway/tests/testsuite/load.rs
@@ -84,6 +84,22 @@
     assert_eq!(ledger.own(&id(0), Moment::ZERO).streams[0].worth, 0.0);
 }
 
+/// A server that only holds memory for a prompt keeps it on the books while other requests end.
+#[test]
+fn memory_that_is_held_for_another_server_is_counted_to_its_end() {
+    let mut ledger = Ledger::default();
+    let holder = Work { memory: Tokens::new(5_000), ..work(1, true) };
+    let joint = ledger.start(vec![work(0, false), holder], Moment::ZERO);
+    ledger.read(joint, true, Moment::ZERO);
+    let other = ledger.start(vec![work(2, false)], Moment::ZERO);
+    ledger.end(other, Moment::ZERO);
+    assert_eq!(ledger.own(&id(1), Moment::ZERO).memory, 5_000);
+    let later = ledger.start(vec![work(1, false)], Moment::ZERO);
+    ledger.end(joint, Moment::ZERO);
+    assert_eq!(ledger.own(&id(1), Moment::ZERO).memory, 1_000);
+    ledger.end(later, Moment::ZERO);
+}
+
 #[test]
 fn a_peer_counts_until_it_is_silent() {
     let mut ledger = Ledger::default();
