load, engine: drop the load of long prompts, which the division no longer reads

Cause: found by reading. Since the division follows rates, nobody read the unread long work of a server, its field in the datagrams, the longest pass of a read or the chunk of an engine. A configuration that leaves the chunk out can now be read.

--- a/crates/gateway/src/engine/profile.rs
+++ b/crates/gateway/src/engine/profile.rs
@@ -22,8 +22,6 @@
     pub read_tokens_per_ms: f64,
     /// Added to reading for each million pairs of a token and an earlier one, in milliseconds.
     pub pairs_ms_per_m: f64,
-    /// Most prompt tokens that one step reads.
-    pub chunk: Tokens,
     /// Steps of a pass that writes.
     pub stride: u32,
 }
@@ -43,15 +41,4 @@
         let step = self.step_ms + writers * self.step_ms_per_writer + context;
         step * f64::from(self.stride)
     }
-
-    /// Returns the longest that a pass can take for reading, in milliseconds, when the prompt
-    /// being read has `prompt` tokens.
-    pub fn read_pass_ms(&self, unread_ms: f64, prompt: Tokens) -> f64 {
-        let most = self.chunk.get() as f64 * f64::from(self.stride);
-        let whole = prompt.get().max(1) as f64;
-        if whole <= most {
-            return unread_ms;
-        }
-        unread_ms.min(self.read_ms(prompt) * most / whole)
-    }
 }
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -106,10 +106,6 @@
     /// Returns what a placement asks of each of its servers.
     pub fn works(&self, job: &Job, placement: &Placement) -> Vec<Work> {
         let prompt = job.ask.prompt.filter(|_| job.service.engine.is_some());
-        let long = match (&job.service.engine, &prompt) {
-            (Some(profile), Some(prompt)) => is_long(prompt, profile),
-            _ => false,
-        };
         let memory = prompt.map_or(Tokens::ZERO, |p| p.tokens.saturating_add(p.answer));
         let held = |server: &runner::Id| {
             let holder = placement.holders.iter().find(|(id, _)| id == server);
@@ -123,7 +119,6 @@
         let main = Work {
             server: placement.server.clone(),
             read_ms: placement.part_ms,
-            long,
             pause: job.route.gap,
             worth: prompt.map_or(0.0, |p| worth(p.tokens)),
             memory,
--- a/crates/gateway/src/load/entry.rs
+++ b/crates/gateway/src/load/entry.rs
@@ -13,8 +13,6 @@
     pub server: runner::Id,
     /// Time to read its part of the prompt, in milliseconds.
     pub read_ms: f64,
-    /// Whether the prompt counts as long.
-    pub long: bool,
     /// Longest pause between its events that is on time.
     pub pause: Duration,
     /// What it is worth to its caller while it is on time.
--- a/crates/gateway/src/load/ledger.rs
+++ b/crates/gateway/src/load/ledger.rs
@@ -38,7 +38,6 @@
     /// When the server has read all that this daemon sent, if it reads nothing else.
     read_until: Moment,
     reading_ms: f64,
-    long_ms: f64,
     requests: u32,
     tight: u32,
     writing: u32,
@@ -72,7 +71,6 @@
             let span = Duration::from_secs_f64(work.read_ms / 1e3);
             own.read_until = own.read_until.max(now) + span;
             own.reading_ms += work.read_ms;
-            own.long_ms += if work.long { work.read_ms } else { 0.0 };
             own.requests += u32::from(!work.helper);
             own.memory += work.memory.get();
         }
@@ -207,10 +205,8 @@
         return;
     };
     own.reading_ms = (own.reading_ms - work.read_ms).max(0.0);
-    own.long_ms -= if work.long { work.read_ms } else { 0.0 };
     if own.reading_ms < 1e-6 {
         own.reading_ms = 0.0;
-        own.long_ms = 0.0;
         own.read_until = now;
     }
 }
@@ -219,10 +215,8 @@
     fn load(&self, now: Moment) -> Load {
         let planned = self.read_until.since(now).as_secs_f64() * 1e3;
         let unread_ms = planned.min(self.reading_ms).max(self.reading_ms * UNREAD_FLOOR);
-        let long_share = if self.reading_ms > 0.0 { self.long_ms / self.reading_ms } else { 0.0 };
         Load {
             unread_ms,
-            long_ms: unread_ms * long_share.clamp(0.0, 1.0),
             requests: self.requests,
             tight: self.tight,
             writing: self.writing,
@@ -236,7 +230,6 @@
     /// Returns the load with the reading taken off that was done since it was told.
     fn aged(self, age: Duration) -> Self {
         let left = (self.unread_ms - age.as_secs_f64() * 1e3).max(self.unread_ms * UNREAD_FLOOR);
-        let part = if self.unread_ms > 0.0 { left / self.unread_ms } else { 0.0 };
-        Self { unread_ms: left, long_ms: self.long_ms * part, ..self }
+        Self { unread_ms: left, ..self }
     }
 }
--- a/crates/gateway/src/load/view.rs
+++ b/crates/gateway/src/load/view.rs
@@ -9,8 +9,6 @@
 pub struct Load {
     /// Prompts that are not read yet, as milliseconds of reading.
     pub unread_ms: f64,
-    /// The part of it that belongs to long prompts.
-    pub long_ms: f64,
     /// Requests that are sent and not ended.
     pub requests: u32,
     /// Streams among them that have begun and allow only short pauses.
@@ -29,7 +27,6 @@
     fn add(self, other: Self) -> Self {
         Self {
             unread_ms: self.unread_ms + other.unread_ms,
-            long_ms: self.long_ms + other.long_ms,
             requests: self.requests + other.requests,
             tight: self.tight + other.tight,
             writing: self.writing + other.writing,
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -9,9 +9,6 @@
     /// Unread prompts, in milliseconds of reading.
     #[prost(uint32, tag = "2")]
     pub unread_ms: u32,
-    /// The part of it that belongs to long prompts, in milliseconds.
-    #[prost(uint32, tag = "3")]
-    pub long_ms: u32,
     /// Requests in flight.
     #[prost(uint32, tag = "4")]
     pub requests: u32,
@@ -121,7 +118,6 @@
         Self {
             server,
             unread_ms: load.unread_ms as u32,
-            long_ms: load.long_ms as u32,
             requests: load.requests,
             tight: load.tight,
             memory: load.memory,
@@ -135,7 +131,6 @@
     fn from(load: &Load) -> Self {
         Self {
             unread_ms: f64::from(load.unread_ms),
-            long_ms: f64::from(load.long_ms),
             requests: load.requests,
             tight: load.tight,
             memory: load.memory,
--- a/crates/gateway/tests/testsuite/load.rs
+++ b/crates/gateway/tests/testsuite/load.rs
@@ -26,7 +26,6 @@
     Work {
         server: id(n),
         read_ms: 100.0,
-        long: n.is_multiple_of(2),
         pause: Duration::from_millis(if n.is_multiple_of(3) { 200 } else { 800 }),
         worth: 2.0,
         memory: Tokens::new(if helper { 0 } else { 1_000 }),
@@ -113,7 +112,7 @@
 #[test]
 fn what_a_peer_had_unread_is_read_meanwhile() {
     let mut ledger = Ledger::default();
-    let load = Load { unread_ms: 400.0, long_ms: 400.0, ..Load::default() };
+    let load = Load { unread_ms: 400.0, ..Load::default() };
     let loads = HashMap::from([(key_of(&id(0)), load)]);
     ledger.tell("peer".parse().unwrap(), Demand::default(), loads, Moment::ZERO);
     assert_eq!(ledger.view(&id(0), Moment::from_millis(300)).unread_ms, 100.0);
--- a/crates/gateway/tests/testsuite/placement.rs
+++ b/crates/gateway/tests/testsuite/placement.rs
@@ -45,7 +45,7 @@
 
 #[test]
 fn a_short_prompt_keeps_clear_of_a_long_read() {
-    let long = Load { unread_ms: 400.0, long_ms: 400.0, requests: 1, ..Load::default() };
+    let long = Load { unread_ms: 400.0, requests: 1, ..Load::default() };
     let busy = writing(8);
     let candidates = candidates(&[long, busy, long]);
     assert_eq!(load(&candidates, &place(5_000, 300, 200, &candidates)), &busy);
@@ -85,7 +85,7 @@
 #[test]
 fn a_prompt_goes_where_its_memory_fits() {
     let full = Load { requests: 2, writing: 2, memory: 400_000, ..Load::default() };
-    let waiting = Load { unread_ms: 300.0, long_ms: 300.0, requests: 1, ..Load::default() };
+    let waiting = Load { unread_ms: 300.0, requests: 1, ..Load::default() };
     let candidates = candidates(&[full, waiting, full]);
     assert_eq!(load(&candidates, &place(110_000, 3_000, 800, &candidates)), &waiting);
 }
--- a/crates/gateway/tests/testsuite/support.rs
+++ b/crates/gateway/tests/testsuite/support.rs
@@ -17,7 +17,6 @@
     context_ms_per_k: 0.00254,
     read_tokens_per_ms: 256.0,
     pairs_ms_per_m: 0.0917,
-    chunk: Tokens::new(2_048),
     stride: 46,
 };
 
