load, placement: one queue a server for all daemons; short prompts keep to the servers they fill

The reading that each daemon had told of was taken off by the clock for each daemon by itself, so what two daemons had sent to one server went down twice as fast as the server reads. The placement of many daemons piled up on the same servers. Three changes that belong together: - A daemon tells how much reading it sent since its start; each one adds what is new to one queue a server. - The wait for a first event costs from a quarter of its aim on, no longer from three quarters: daemons filled servers up to just below the aim, where every error made the prompt late. - Servers for short prompts are only as many as their streams fill. All others are free of such streams, so that a burst of long prompts harms nobody there. The rate of long prompts is no longer needed for it. Large prompts then find room: they count as demand only once placed (refused ones, sent again, made the servers look full), block others in part of the servers' use, and are placed where they cost others 0.4 of what they gain at most.

The test of two daemons' reading failed on the old ledger (90 ms left where 300 are).

--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -16,7 +16,9 @@
 use crate::peer;
 use crate::placement::Candidate;
 use crate::placement::Placement;
+use crate::placement::Reason;
 use crate::placement::Request;
+use crate::placement::is_joint;
 use crate::placement::is_long;
 use crate::placement::place_plain;
 use crate::placement::place_prompt;
@@ -31,13 +33,24 @@
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(job.service.name.clone()).or_default();
         budget.request(self.now(), &self.settings.budget);
-        if let (Some(profile), Some(prompt)) = (&job.service.engine, &job.ask.prompt) {
+        if let (Some(profile), Some(prompt)) = (&job.service.engine, &job.ask.prompt)
+            && !is_joint(prompt, profile)
+        {
             let long = is_long(prompt, profile);
             let long_ms = if long { profile.read_ms(prompt.tokens) } else { 0.0 };
             self.ledger.borrow_mut().count(long_ms, !long, self.now());
         }
     }
 
+    /// Counts the reading of a prompt that several servers were found to hold. Before that it is
+    /// no demand: most of them may be refused.
+    pub fn count_joint(&self, placement: &Placement) {
+        if placement.reason == Reason::Joint {
+            let long_ms = placement.part_ms * (placement.helpers.len() + 1) as f64;
+            self.ledger.borrow_mut().count(long_ms, false, self.now());
+        }
+    }
+
     /// Takes one resend from the retry budget; returns false when none is left.
     pub fn may_resend(&self, job: &Job) -> bool {
         let now = self.now();
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -313,9 +313,9 @@
         for id in self.fleet.borrow_mut().expire(now) {
             info!(target: "fleet", server:% = id; "lapsed registration did not come back");
         }
-        self.ledger.borrow_mut().expire(now);
         let fleet = self.fleet.borrow();
         let known = |id: &runner::Id| fleet.server(id).is_some();
+        self.ledger.borrow_mut().expire(now, known);
         self.pool.expire(now, known);
         self.health.borrow_mut().retain(known);
         self.heard.borrow_mut().retain(|id, _| known(id));
--- a/crates/gateway/src/load/ledger.rs
+++ b/crates/gateway/src/load/ledger.rs
@@ -20,6 +20,8 @@
 /// Least part of the work of unread prompts that is taken as left until their first event shows
 /// that they are read.
 const UNREAD_FLOOR: f64 = 0.15;
+/// Reading below which a server counts as having nothing to read: what rounding leaves.
+const LEAST_READING_MS: f64 = 1e-6;
 
 /// Names a request in the ledger.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -35,8 +37,8 @@
 
 #[derive(Debug, Default, Clone, Copy)]
 struct Own {
-    /// When the server has read all that this daemon sent, if it reads nothing else.
-    read_until: Moment,
+    /// Reading that was sent to the server since this daemon started.
+    sent_ms: f64,
     reading_ms: f64,
     requests: u32,
     tight: u32,
@@ -44,11 +46,22 @@
     memory: u64,
 }
 
-#[derive(Debug)]
+/// What a peer says of one server.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Told {
+    /// What the peer has in flight there.
+    pub load: Load,
+    /// Reading that the peer sent there since it started, in milliseconds.
+    pub sent_ms: f64,
+}
+
+#[derive(Debug, Default)]
 struct Peer {
     at: Moment,
     demand: Demand,
     loads: HashMap<u64, Load>,
+    /// The latest that it told of each server, also where it has nothing in flight now.
+    sent_ms: HashMap<u64, f64>,
 }
 
 /// The requests in flight of this daemon, and what its peers say of theirs.
@@ -57,6 +70,8 @@
     next: u64,
     entries: BTreeMap<Key, Entry>,
     own: HashMap<runner::Id, Own>,
+    /// When each server has read all that the daemons are known to have sent.
+    read_until: HashMap<u64, Moment>,
     peers: HashMap<daemon::Id, Peer>,
     meter: Meter,
 }
@@ -68,18 +83,24 @@
         self.next += 1;
         for work in &works {
             let own = self.own.entry(work.server.clone()).or_default();
-            let span = Duration::from_secs_f64(work.read_ms / 1e3);
-            own.read_until = own.read_until.max(now) + span;
+            own.sent_ms += work.read_ms;
             own.reading_ms += work.read_ms;
             own.requests += u32::from(!work.helper);
             own.memory += work.memory.get();
+            self.enqueue(key_of(&work.server), work.read_ms, now);
         }
         self.entries.insert(key, Entry { works, reading: true, on_time: false });
         key
     }
 
+    /// Adds to what a server has to read.
+    fn enqueue(&mut self, server: u64, read_ms: f64, now: Moment) {
+        let until = self.read_until.entry(server).or_default();
+        *until = (*until).max(now) + Duration::from_secs_f64(read_ms / 1e3);
+    }
+
     /// Notes that the first event of a request has come: its prompt is read.
-    pub fn read(&mut self, key: Key, on_time: bool, now: Moment) {
+    pub fn read(&mut self, key: Key, on_time: bool) {
         let Some(entry) = self.entries.get_mut(&key) else {
             return;
         };
@@ -88,7 +109,7 @@
         }
         entry.on_time = on_time;
         for work in &entry.works {
-            finish_reading(&mut self.own, work, now);
+            finish_reading(&mut self.own, work);
             if let Some(own) = self.own.get_mut(&work.server).filter(|_| !work.helper) {
                 own.tight += u32::from(work.is_tight());
                 own.writing += 1;
@@ -104,13 +125,13 @@
     }
 
     /// Removes a request that has ended.
-    pub fn end(&mut self, key: Key, now: Moment) {
+    pub fn end(&mut self, key: Key) {
         let Some(entry) = self.entries.remove(&key) else {
             return;
         };
         for work in &entry.works {
             if entry.reading {
-                finish_reading(&mut self.own, work, now);
+                finish_reading(&mut self.own, work);
             }
             let Some(own) = self.own.get_mut(&work.server) else {
                 continue;
@@ -122,7 +143,6 @@
                 own.writing -= 1;
             }
         }
-        self.own.retain(|_, own| own.requests > 0 || own.reading_ms > 0.0 || own.memory > 0);
     }
 
     /// Takes in what a peer says of its own requests.
@@ -130,10 +150,18 @@
         &mut self,
         peer: daemon::Id,
         demand: Demand,
-        loads: HashMap<u64, Load>,
+        told: &HashMap<u64, Told>,
         now: Moment,
     ) {
-        self.peers.insert(peer, Peer { at: now, demand, loads });
+        let mut known = self.peers.remove(&peer).unwrap_or_default();
+        for (server, told) in told {
+            let read_ms = known.added(*server, told);
+            self.enqueue(*server, read_ms, now);
+        }
+        known.at = now;
+        known.demand = demand;
+        known.loads = told.iter().map(|(server, told)| (*server, told.load)).collect();
+        self.peers.insert(peer, known);
     }
 
     /// Counts a request that came to this daemon.
@@ -151,28 +179,37 @@
         self.peers.values().fold(self.meter.read(now), |sum, peer| sum + peer.demand)
     }
 
-    /// Forgets peers that have said nothing for long.
-    pub fn expire(&mut self, now: Moment) {
+    /// Forgets peers that have said nothing for long, and servers that are not known any more.
+    pub fn expire(&mut self, now: Moment, known: impl Fn(&runner::Id) -> bool) {
         self.peers.retain(|_, peer| now.since(peer.at) <= PEER_LOAD_AGE);
+        self.read_until.retain(|_, until| *until > now);
+        self.own.retain(|id, own| own.has_work() || known(id));
     }
 
-    /// Returns what this daemon has in flight at a server.
-    pub fn own(&self, server: &runner::Id, now: Moment) -> Load {
-        let own = self.own.get(server).map(|own| own.load(now)).unwrap_or_default();
+    /// Returns what this daemon has in flight at a server. A prompt counts as unread as a whole
+    /// until its first event has come.
+    pub fn own(&self, server: &runner::Id) -> Load {
+        let own = self.own.get(server).map(Own::load).unwrap_or_default();
         Load { streams: self.streams(server), ..own }
     }
 
-    /// Returns what this daemon has in flight at all servers where it has something.
-    pub fn all_own(&self, now: Moment) -> impl Iterator<Item = (&runner::Id, Load)> {
-        self.own.keys().map(move |id| (id, self.own(id, now)))
+    /// Returns what this daemon tells its peers: all servers where it has something in flight.
+    pub fn report(&self) -> impl Iterator<Item = (u64, Told)> {
+        let busy = self.own.iter().filter(|(_, own)| own.has_work());
+        busy.map(|(id, own)| (key_of(id), Told { load: self.own(id), sent_ms: own.sent_ms }))
     }
 
-    /// Returns what all daemons have in flight at a server.
+    /// Returns what all daemons have in flight at a server. What is unread there is estimated:
+    /// the server reads one prompt after the other, whichever daemon sent it.
     pub fn view(&self, server: &runner::Id, now: Moment) -> Load {
         let key = key_of(server);
         let fresh = self.peers.values().filter(|p| now.since(p.at) <= PEER_LOAD_AGE);
-        let told = fresh.filter_map(|p| p.loads.get(&key).map(|load| load.aged(now.since(p.at))));
-        told.fold(self.own(server, now), |sum, load| sum + load)
+        let told = fresh.filter_map(|p| p.loads.get(&key).copied());
+        let sent = told.fold(self.own(server), |sum, load| sum + load);
+        let until = self.read_until.get(&key).copied().unwrap_or_default();
+        let left_ms = until.since(now).as_secs_f64() * 1e3;
+        let least_ms = sent.unread_ms * UNREAD_FLOOR;
+        Load { unread_ms: left_ms.max(least_ms).min(sent.unread_ms), ..sent }
     }
 
     /// Returns the streams that this daemon has at a server and that are on time.
@@ -200,23 +237,23 @@
 }
 
 /// Takes a prompt off what a server has to read.
-fn finish_reading(own: &mut HashMap<runner::Id, Own>, work: &Work, now: Moment) {
-    let Some(own) = own.get_mut(&work.server) else {
-        return;
-    };
-    own.reading_ms = (own.reading_ms - work.read_ms).max(0.0);
-    if own.reading_ms < 1e-6 {
-        own.reading_ms = 0.0;
-        own.read_until = now;
+fn finish_reading(own: &mut HashMap<runner::Id, Own>, work: &Work) {
+    if let Some(own) = own.get_mut(&work.server) {
+        own.reading_ms -= work.read_ms;
+        if own.reading_ms < LEAST_READING_MS {
+            own.reading_ms = 0.0;
+        }
     }
 }
 
 impl Own {
-    fn load(&self, now: Moment) -> Load {
-        let planned = self.read_until.since(now).as_secs_f64() * 1e3;
-        let unread_ms = planned.min(self.reading_ms).max(self.reading_ms * UNREAD_FLOOR);
+    fn has_work(&self) -> bool {
+        self.requests > 0 || self.reading_ms > 0.0 || self.memory > 0
+    }
+
+    fn load(&self) -> Load {
         Load {
-            unread_ms,
+            unread_ms: self.reading_ms,
             requests: self.requests,
             tight: self.tight,
             writing: self.writing,
@@ -226,10 +263,14 @@
     }
 }
 
-impl Load {
-    /// Returns the load with the reading taken off that was done since it was told.
-    fn aged(self, age: Duration) -> Self {
-        let left = (self.unread_ms - age.as_secs_f64() * 1e3).max(self.unread_ms * UNREAD_FLOOR);
-        Self { unread_ms: left, ..self }
+impl Peer {
+    /// Returns how much reading the peer sent to a server since it last told of it. One that was
+    /// not heard before or started anew is taken at what is unread.
+    fn added(&mut self, server: u64, told: &Told) -> f64 {
+        let before = self.sent_ms.insert(server, told.sent_ms);
+        match before {
+            Some(before) if before <= told.sent_ms => told.sent_ms - before,
+            _ => told.load.unread_ms,
+        }
     }
 }
--- a/crates/gateway/src/load/mod.rs
+++ b/crates/gateway/src/load/mod.rs
@@ -11,6 +11,7 @@
 pub use entry::Work;
 pub use ledger::Key;
 pub use ledger::Ledger;
+pub use ledger::Told;
 pub use streams::GROUPS;
 pub use streams::Streams;
 pub use streams::group_of;
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -81,7 +81,7 @@
 fn report(gateway: &Gateway, incarnation: u64, sequence: u64) -> Report {
     let now = gateway.now();
     let ledger = gateway.ledger().borrow();
-    let loads = ledger.all_own(now).map(|(id, load)| Load::of(key_of(id), &load)).collect();
+    let loads = ledger.report().map(|(server, told)| Load::of(server, &told)).collect();
     let suspects = gateway.suspects().borrow().counts(MAX_SUSPECTS);
     let demand = ledger.own_demand(now);
     Report {
@@ -124,10 +124,10 @@
         return;
     }
     gateway.peers().borrow_mut().set_stopping(&id, report.stopping);
-    let loads = report.loads.iter().map(|load| (load.server, load.into())).collect();
+    let told = report.loads.iter().map(|load| (load.server, load.into())).collect();
     let demand =
         Demand { long_ms: f64::from(report.demand_long_ms), short: f64::from(report.demand_short) };
-    gateway.ledger().borrow_mut().tell(id, demand, loads, now);
+    gateway.ledger().borrow_mut().tell(id, demand, &told, now);
     for count in &report.suspects {
         let value = (u128::from(count.high) << 64) | u128::from(count.low);
         gateway.suspects().borrow_mut().tell(Fingerprint::new(value), count.deaths, now);
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -6,9 +6,12 @@
     /// Short form of the server's id.
     #[prost(fixed64, tag = "1")]
     pub server: u64,
-    /// Unread prompts, in milliseconds of reading.
-    #[prost(uint32, tag = "2")]
-    pub unread_ms: u32,
+    /// Prompts whose first event has not come, in milliseconds of reading.
+    #[prost(float, tag = "2")]
+    pub unread_ms: f32,
+    /// Reading that was sent since the daemon started, in milliseconds.
+    #[prost(double, tag = "3")]
+    pub sent_ms: f64,
     /// Requests in flight.
     #[prost(uint32, tag = "4")]
     pub requests: u32,
@@ -114,10 +117,12 @@
 
 impl Load {
     /// Describes what this daemon has in flight at a server.
-    pub fn of(server: u64, load: &load::Load) -> Self {
+    pub fn of(server: u64, told: &load::Told) -> Self {
+        let load = &told.load;
         Self {
             server,
-            unread_ms: load.unread_ms as u32,
+            unread_ms: load.unread_ms as f32,
+            sent_ms: told.sent_ms,
             requests: load.requests,
             tight: load.tight,
             memory: load.memory,
@@ -127,17 +132,19 @@
     }
 }
 
-impl From<&Load> for load::Load {
+impl From<&Load> for load::Told {
     fn from(load: &Load) -> Self {
-        Self {
+        let streams =
+            std::array::from_fn(|n| load.streams.get(n).map(Into::into).unwrap_or_default());
+        let sent_ms = load.sent_ms;
+        let load = load::Load {
             unread_ms: f64::from(load.unread_ms),
             requests: load.requests,
             tight: load.tight,
             memory: load.memory,
             writing: load.writing,
-            streams: std::array::from_fn(|n| {
-                load.streams.get(n).map(Into::into).unwrap_or_default()
-            }),
-        }
+            streams,
+        };
+        Self { load, sent_ms }
     }
 }
--- a/crates/gateway/src/placement/division.rs
+++ b/crates/gateway/src/placement/division.rs
@@ -1,10 +1,6 @@
 use crate::load::Demand;
 use crate::placement::Candidate;
 
-/// Part of their time that the servers for long prompts spend reading.
-const LONG_READING_PART: f64 = 0.65;
-/// Milliseconds of work that a server can do in a second.
-const SERVER_MS: f64 = 1_000.0;
 /// Part of a server's slots that streams with short pauses fill at most when the division moves.
 const SHORT_SLOT_PART: f64 = 0.7;
 /// Usual time from the arrival of a short prompt to the end of its stream, in seconds.
@@ -13,8 +9,9 @@
 /// The servers of a service, divided between long and short prompts.
 ///
 /// Reading a long prompt beside a stream with short pauses makes that stream late. The load turns
-/// between mostly short and mostly long prompts within seconds, so the division follows the rates
-/// of both instead of a fixed share.
+/// between mostly short and mostly long prompts within seconds. Streams with short pauses do
+/// little harm to one another, so they get as many servers as they fill, and all others stay free
+/// of them: a burst of long prompts then finds servers that it harms nobody at.
 #[derive(Debug, Clone)]
 pub struct Division<'a> {
     /// Servers for long prompts, first those that are taken first.
@@ -28,9 +25,8 @@
     pub fn of(candidates: &'a [Candidate], demand: &Demand) -> Self {
         let mut ranked: Vec<&Candidate> = candidates.iter().collect();
         ranked.sort_by_key(|c| c.rank);
-        let wanted = (demand.long_ms / SERVER_MS / LONG_READING_PART).ceil() as usize;
-        let most = ranked.len() - short_need(&ranked, demand).min(ranked.len());
-        let short = ranked.split_off(wanted.min(most));
+        let long = ranked.len() - short_need(&ranked, demand).min(ranked.len());
+        let short = ranked.split_off(long);
         Self { long: ranked, short }
     }
 }
--- a/crates/gateway/src/placement/joint.rs
+++ b/crates/gateway/src/placement/joint.rs
@@ -15,6 +15,9 @@
 /// Part of a server's free memory that a prompt takes: what is known of it is late.
 const FREE_PART: f64 = 0.85;
 
+/// Part of what a prompt gains that its placement costs others at most. What is foreseen is less
+/// than all that it harms: prompts come later that find its servers reading.
+const MOST_COST: f64 = 0.4;
 /// What a second of reading long prompts is worth.
 const WORTH_PER_READING_S: f64 = 6.5;
 /// Part of their worth that prompts lose whose servers are blocked when they come.
@@ -37,11 +40,12 @@
     let most = order.len().min(MAX_HELPERS + 1);
     let options = (fewest..=most).map(|parts| {
         let readers = readers(request, &order, fewest, parts);
-        let cost = cost(request, division, demand, &readers);
+        let cost = Cost::of(request, division, demand, &readers);
         (readers, cost)
     });
-    let (readers, cost) = options.min_by(|a, b| a.1.total_cmp(&b.1))?;
-    if cost >= price::worth(request.prompt.tokens) {
+    let (readers, cost) = options.min_by(|a, b| a.1.sum().total_cmp(&b.1.sum()))?;
+    let gain = price::worth(request.prompt.tokens) - cost.own;
+    if cost.others > gain * MOST_COST {
         return None;
     }
     let part_ms = request.read_ms() / readers.len() as f64;
@@ -95,20 +99,37 @@
     holding.iter().chain(others.iter().take(parts - fewest)).copied().collect()
 }
 
-/// Returns what a placement on `readers` costs, in worth.
-fn cost(
-    request: &Request<'_>,
-    division: &Division<'_>,
-    demand: &Demand,
-    readers: &[&Candidate],
-) -> f64 {
-    let part_ms = request.read_ms() / readers.len() as f64;
-    let harm: f64 = readers.iter().map(|c| reader_cost(request, c, part_ms)).sum();
-    let blocked = blocked(division, demand, readers, part_ms);
-    request.wait_cost(longest_wait(readers) + part_ms) + harm + blocked
+/// What a placement costs, in worth.
+struct Cost {
+    /// What the prompt itself loses.
+    own: f64,
+    /// What all others lose.
+    others: f64,
+}
+
+impl Cost {
+    /// Returns what a placement on `readers` costs.
+    fn of(
+        request: &Request<'_>,
+        division: &Division<'_>,
+        demand: &Demand,
+        readers: &[&Candidate],
+    ) -> Self {
+        let part_ms = request.read_ms() / readers.len() as f64;
+        let harm: f64 = readers.iter().map(|c| reader_cost(request, c, part_ms)).sum();
+        Self {
+            own: request.wait_cost(longest_wait(readers) + part_ms),
+            others: harm + blocked(division, demand, readers, part_ms),
+        }
+    }
+
+    fn sum(&self) -> f64 {
+        self.own + self.others
+    }
 }
 
-/// Returns what the prompts lose that come while their servers read a part.
+/// Returns what the prompts lose that come while their servers read a part. Long ones that find
+/// a server reading go to another as long as the servers for long prompts have time left.
 fn blocked(division: &Division<'_>, demand: &Demand, readers: &[&Candidate], part_ms: f64) -> f64 {
     let is_short = |c: &&&Candidate| division.short.iter().any(|s| s.id == c.id);
     let short = readers.iter().filter(is_short).count() as f64;
@@ -116,7 +137,8 @@
     let short_part = short / division.short.len().max(1) as f64;
     let long_part = long / division.long.len().max(1) as f64;
     let lost_short = demand.short * short_part;
-    let lost_long = demand.long_ms / 1e3 * WORTH_PER_READING_S * long_part;
+    let busy = demand.long_ms / 1e3 / division.long.len().max(1) as f64;
+    let lost_long = demand.long_ms / 1e3 * WORTH_PER_READING_S * long_part * busy.min(1.0);
     (lost_short + lost_long) * part_ms / 1e3 * BLOCKED_LOSS
 }
 
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -15,5 +15,6 @@
 pub use plan::Reason;
 pub use price::worth;
 pub use prompt::Request;
+pub use prompt::is_joint;
 pub use prompt::is_long;
 pub use prompt::place_prompt;
--- a/crates/gateway/src/placement/price.rs
+++ b/crates/gateway/src/placement/price.rs
@@ -12,6 +12,8 @@
 const LATE_LOSS: f64 = 0.75;
 /// Part of a limit from which a time may turn out late.
 const SURE_PART: f64 = 0.75;
+/// Part of its aim from which a first event may turn out late.
+const FIRST_SURE_PART: f64 = 0.25;
 /// Part of a limit from which a time is taken as late.
 const LATE_PART: f64 = 1.15;
 
@@ -22,6 +24,13 @@
     ((part - SURE_PART) / (LATE_PART - SURE_PART)).clamp(0.0, 1.0) * LATE_LOSS
 }
 
+/// Returns the expected loss of an answer whose first event is expected at `time`: what else the
+/// servers read until then is known less well than the length of a pass.
+pub fn first_lateness(time: f64, limit: f64) -> f64 {
+    let part = time / limit.max(1.0);
+    ((part - FIRST_SURE_PART) / (LATE_PART - FIRST_SURE_PART)).clamp(0.0, 1.0) * LATE_LOSS
+}
+
 /// Returns what an answer is worth to its caller, 1 for the smallest: long prompts are work that
 /// is not easily asked again.
 pub fn worth(prompt: Tokens) -> f64 {
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -59,6 +59,12 @@
     profile.read_ms(prompt.tokens) > LONG_READ_MS
 }
 
+/// Tells whether a prompt is too large for the memory of one engine.
+pub fn is_joint(prompt: &Prompt, profile: &Profile) -> bool {
+    let memory = prompt.tokens.saturating_add(prompt.answer);
+    memory.get() as f64 > profile.memory.get() as f64 * ALONE_PART
+}
+
 /// Chooses the server of a prompt, and helpers where it is long.
 ///
 /// Answers a load of short prompts whose streams allow short pauses, mixed with prompts whose
@@ -72,7 +78,7 @@
     unseen: f64,
 ) -> Option<Placement> {
     let division = Division::of(candidates, demand);
-    if request.memory().get() as f64 > request.profile.memory.get() as f64 * ALONE_PART {
+    if is_joint(request.prompt, request.profile) {
         return place_joint(request, &division, demand);
     }
     if is_long(request.prompt, request.profile) {
@@ -113,7 +119,7 @@
     /// Returns what it loses when its prompt is read after `first_ms`, in worth.
     pub fn wait_cost(&self, first_ms: f64) -> f64 {
         let worth = price::worth(self.prompt.tokens);
-        worth * price::lateness(first_ms, price::millis(self.aim))
+        worth * price::first_lateness(first_ms, price::millis(self.aim))
             + first_ms / 1e3 * WAIT_COST_PER_S
     }
 }
--- a/crates/gateway/src/relay/flight.rs
+++ b/crates/gateway/src/relay/flight.rs
@@ -38,6 +38,7 @@
     ) -> Self {
         let now = gateway.now();
         let key = gateway.ledger().borrow_mut().start(gateway.works(job, placement), now);
+        gateway.count_joint(placement);
         let helpers = gateway.helpers(placement, tickets.as_ref());
         if placement.reason != Reason::FewestRequests && placement.reason != Reason::ShortDivision {
             gateway.announce();
@@ -78,9 +79,8 @@
 
     /// Notes that something of the answer came, and whether it is on time.
     pub fn read(&self, on_time: bool) {
-        let now = self.gateway.now();
         let mut ledger = self.gateway.ledger().borrow_mut();
-        ledger.read(self.key, on_time, now);
+        ledger.read(self.key, on_time);
         if !on_time {
             ledger.late(self.key);
         }
@@ -139,7 +139,6 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        let now = self.gateway.now();
-        self.gateway.ledger().borrow_mut().end(self.key, now);
+        self.gateway.ledger().borrow_mut().end(self.key);
     }
 }
--- a/crates/gateway/tests/testsuite/load.rs
+++ b/crates/gateway/tests/testsuite/load.rs
@@ -9,6 +9,7 @@
 use kumquattiller_gateway::load::Demand;
 use kumquattiller_gateway::load::Ledger;
 use kumquattiller_gateway::load::Load;
+use kumquattiller_gateway::load::Told;
 use kumquattiller_gateway::load::Work;
 use kumquattiller_gateway::load::key_of;
 use proptest::prelude::*;
@@ -33,6 +34,21 @@
     }
 }
 
+fn unread(unread_ms: f64, sent_ms: f64) -> Told {
+    Told { load: Load { unread_ms, ..Load::default() }, sent_ms }
+}
+
+/// Takes in what a peer says of the first server.
+fn tell(ledger: &mut Ledger, told: Told, at_ms: u64) {
+    let told = HashMap::from([(key_of(&id(0)), told)]);
+    let now = Moment::from_millis(at_ms);
+    ledger.tell("peer".parse().unwrap(), Demand::default(), &told, now);
+}
+
+fn unread_at(ledger: &Ledger, at_ms: u64) -> f64 {
+    ledger.view(&id(0), Moment::from_millis(at_ms)).unread_ms
+}
+
 proptest! {
     #![proptest_config(cases(SEED))]
 
@@ -45,19 +61,19 @@
         for (server, action, gap) in steps {
             now = now + Duration::from_millis(gap);
             match (action, open.last().copied()) {
-                (1, Some(key)) => ledger.read(key, true, now),
+                (1, Some(key)) => ledger.read(key, true),
                 (2, Some(key)) => {
                     open.pop();
-                    ledger.end(key, now);
+                    ledger.end(key);
                 }
                 _ => open.push(ledger.start(vec![work(server, false), work(server + 1, true)], now)),
             }
         }
         for key in open {
-            ledger.end(key, now);
+            ledger.end(key);
         }
         for server in 0..6 {
-            prop_assert_eq!(ledger.own(&id(server), now), Load::default());
+            prop_assert_eq!(ledger.own(&id(server)), Load::default());
         }
         prop_assert!(ledger.is_empty());
     }
@@ -67,9 +83,9 @@
 fn a_read_prompt_turns_into_a_writing_stream() {
     let mut ledger = Ledger::default();
     let key = ledger.start(vec![work(0, false)], Moment::ZERO);
-    assert_eq!(ledger.own(&id(0), Moment::ZERO).unread_ms, 100.0);
-    ledger.read(key, true, Moment::from_millis(100));
-    let load = ledger.own(&id(0), Moment::from_millis(100));
+    assert_eq!(ledger.own(&id(0)).unread_ms, 100.0);
+    ledger.read(key, true);
+    let load = ledger.own(&id(0));
     assert_eq!((load.unread_ms, load.tight, load.requests, load.memory), (0.0, 1, 1, 1_000));
 }
 
@@ -77,10 +93,10 @@
 fn a_late_stream_has_nothing_more_to_lose() {
     let mut ledger = Ledger::default();
     let key = ledger.start(vec![work(0, false)], Moment::ZERO);
-    ledger.read(key, true, Moment::ZERO);
-    assert_eq!(ledger.own(&id(0), Moment::ZERO).streams[0].worth, 2.0);
+    ledger.read(key, true);
+    assert_eq!(ledger.own(&id(0)).streams[0].worth, 2.0);
     ledger.late(key);
-    assert_eq!(ledger.own(&id(0), Moment::ZERO).streams[0].worth, 0.0);
+    assert_eq!(ledger.own(&id(0)).streams[0].worth, 0.0);
 }
 
 /// A server that only holds memory for a prompt keeps it on the books while other requests end.
@@ -89,22 +105,21 @@
     let mut ledger = Ledger::default();
     let holder = Work { memory: Tokens::new(5_000), ..work(1, true) };
     let joint = ledger.start(vec![work(0, false), holder], Moment::ZERO);
-    ledger.read(joint, true, Moment::ZERO);
+    ledger.read(joint, true);
     let other = ledger.start(vec![work(2, false)], Moment::ZERO);
-    ledger.end(other, Moment::ZERO);
-    assert_eq!(ledger.own(&id(1), Moment::ZERO).memory, 5_000);
+    ledger.end(other);
+    assert_eq!(ledger.own(&id(1)).memory, 5_000);
     let later = ledger.start(vec![work(1, false)], Moment::ZERO);
-    ledger.end(joint, Moment::ZERO);
-    assert_eq!(ledger.own(&id(1), Moment::ZERO).memory, 1_000);
-    ledger.end(later, Moment::ZERO);
+    ledger.end(joint);
+    assert_eq!(ledger.own(&id(1)).memory, 1_000);
+    ledger.end(later);
 }
 
 #[test]
 fn a_peer_counts_until_it_is_silent() {
     let mut ledger = Ledger::default();
     let load = Load { requests: 3, ..Load::default() };
-    let loads = HashMap::from([(key_of(&id(0)), load)]);
-    ledger.tell("peer".parse().unwrap(), Demand::default(), loads, Moment::ZERO);
+    tell(&mut ledger, Told { load, sent_ms: 0.0 }, 0);
     assert_eq!(ledger.view(&id(0), Moment::from_millis(100)).requests, 3);
     assert_eq!(ledger.view(&id(0), Moment::from_millis(2_000)).requests, 0);
 }
@@ -112,10 +127,51 @@
 #[test]
 fn what_a_peer_had_unread_is_read_meanwhile() {
     let mut ledger = Ledger::default();
-    let load = Load { unread_ms: 400.0, ..Load::default() };
-    let loads = HashMap::from([(key_of(&id(0)), load)]);
-    ledger.tell("peer".parse().unwrap(), Demand::default(), loads, Moment::ZERO);
-    assert_eq!(ledger.view(&id(0), Moment::from_millis(300)).unread_ms, 100.0);
+    tell(&mut ledger, unread(400.0, 400.0), 0);
+    assert_eq!(unread_at(&ledger, 300), 100.0);
+}
+
+/// A server reads one prompt after the other, whichever daemon sent it.
+#[test]
+fn the_reading_of_two_daemons_is_done_one_after_the_other() {
+    let mut ledger = Ledger::default();
+    ledger.start(vec![Work { read_ms: 300.0, ..work(0, false) }], Moment::ZERO);
+    tell(&mut ledger, unread(300.0, 300.0), 0);
+    assert_eq!(unread_at(&ledger, 300), 300.0);
+}
+
+#[test]
+fn a_report_that_says_the_same_again_adds_nothing() {
+    let mut ledger = Ledger::default();
+    tell(&mut ledger, unread(400.0, 400.0), 0);
+    tell(&mut ledger, unread(400.0, 400.0), 100);
+    assert_eq!(unread_at(&ledger, 100), 300.0);
+}
+
+/// Reports get lost; what was sent meanwhile is in the next one.
+#[test]
+fn what_a_lost_report_said_is_in_the_next() {
+    let mut ledger = Ledger::default();
+    tell(&mut ledger, unread(100.0, 100.0), 0);
+    tell(&mut ledger, unread(500.0, 900.0), 400);
+    assert_eq!(unread_at(&ledger, 400), 500.0);
+    assert_eq!(unread_at(&ledger, 800), 400.0);
+}
+
+#[test]
+fn a_peer_that_started_anew_counts_from_its_start() {
+    let mut ledger = Ledger::default();
+    tell(&mut ledger, unread(0.0, 5_000.0), 0);
+    tell(&mut ledger, unread(200.0, 200.0), 100);
+    assert_eq!(unread_at(&ledger, 100), 200.0);
+}
+
+#[test]
+fn a_server_that_is_slower_than_expected_is_not_taken_as_idle() {
+    let mut ledger = Ledger::default();
+    tell(&mut ledger, unread(400.0, 400.0), 0);
+    tell(&mut ledger, unread(400.0, 400.0), 500);
+    assert!(unread_at(&ledger, 550) > 50.0);
 }
 
 #[test]
--- a/crates/gateway/tests/testsuite/placement.rs
+++ b/crates/gateway/tests/testsuite/placement.rs
@@ -8,6 +8,7 @@
 use kumquattiller_gateway::load::Load;
 use kumquattiller_gateway::load::Streams;
 use kumquattiller_gateway::placement::Candidate;
+use kumquattiller_gateway::placement::Division;
 use kumquattiller_gateway::placement::Placement;
 use kumquattiller_gateway::placement::Request;
 use kumquattiller_gateway::placement::is_long;
@@ -60,6 +61,16 @@
     assert!(placement.helpers.is_empty());
 }
 
+/// Servers that the short streams do not need are free of them, so that a burst of long prompts
+/// finds room at once.
+#[test]
+fn short_streams_take_no_more_servers_than_they_need() {
+    let candidates = candidates(&[Load::default(); 14]);
+    let demand = Demand { long_ms: 0.0, short: 20.0 };
+    let division = Division::of(&candidates, &demand);
+    assert_eq!((division.long.len(), division.short.len()), (11, 3));
+}
+
 /// Streams that are late already lose nothing by another long read, so long reads go there.
 #[test]
 fn a_long_prompt_goes_where_streams_are_late_already() {
