gateway, peer: a daemon that starts without the store learns the servers from a peer; honest Retry-After

And a daemon that the store alone turns away got the configuration of a peer after a restart, but no list of backend servers, and served nothing until the store answered. What a peer hands over also names the backend servers, which count until the store has told of them once.

Ruled out: holding such requests: nothing tells when the store is back.

--- a/crates/gateway/src/fleet/table.rs
+++ b/crates/gateway/src/fleet/table.rs
@@ -153,6 +153,12 @@
         self.members.values().filter(fits).map(|m| &m.server).collect()
     }
 
+    /// Returns all servers, each as leaving where a peer saw it leave.
+    pub fn servers(&self) -> impl Iterator<Item = Server> {
+        let leaving = |m: &Member| m.standing == Standing::Leaving;
+        self.members.values().map(move |m| Server { leaving: leaving(m), ..m.server.clone() })
+    }
+
     /// Returns the ids of all servers.
     pub fn ids(&self) -> impl Iterator<Item = &runner::Id> {
         self.members.keys()
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use kumquattiller_link::Clock;
 use log::error;
 use log::info;
+use log::warn;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -42,7 +43,8 @@
     pub(super) settings: Settings,
     dialect: Rc<dyn Dialect>,
     config: RefCell<Option<Rc<Config>>>,
-    document: RefCell<Document>,
+    /// The configuration as the store holds it.
+    document: RefCell<Bytes>,
     pub(super) fleet: RefCell<fleet::Table>,
     fleet_known: Cell<bool>,
     pub(super) ledger: RefCell<Ledger>,
@@ -151,9 +153,13 @@
         self.config.borrow().clone()
     }
 
-    /// Returns the configuration as the store holds it.
+    /// Returns what a peer needs that the store does not serve.
     pub fn document(&self) -> Document {
-        self.document.borrow().clone()
+        Document {
+            version: self.version().get(),
+            body: self.document.borrow().clone(),
+            servers: self.fleet.borrow().servers().map(|s| peer::Server::from(&s)).collect(),
+        }
     }
 
     /// Returns the version in force; 0 for none.
@@ -179,7 +185,7 @@
             target: "config", version:% = new, old:%, source, routes = config.route_count();
             "configuration in force"
         );
-        *self.document.borrow_mut() = Document { version: new.get(), body: document };
+        *self.document.borrow_mut() = document;
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
 
@@ -188,6 +194,21 @@
         self.fleet_known.set(true);
     }
 
+    /// Takes in the backend servers that a peer knows, where the store has not told of any yet.
+    pub fn offer_fleet(&self, servers: &[peer::Server]) {
+        if self.fleet_known.get() || servers.is_empty() {
+            return;
+        }
+        for server in servers {
+            match fleet::Server::try_from(server) {
+                Ok(server) => _ = self.fleet.borrow_mut().put(server),
+                Err(reason) => warn!(target: "peer", reason:%; "a peer's server cannot be read"),
+            }
+        }
+        info!(target: "fleet", known = self.fleet.borrow().len(); "servers known from a peer");
+        self.set_fleet_known();
+    }
+
     /// Applies what a change of a registration means to the state of this daemon, and logs it.
     pub fn note_change(&self, id: &runner::Id, change: Change) {
         match change {
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -26,9 +26,8 @@
 use crate::dialect::Ask;
 use crate::http::Job;
 use crate::http::Refusal;
+use crate::http::first_retry;
 
-/// When to come again where this daemon has no configuration yet.
-const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
 /// When to come again where the configuration names a service without saying anything of it.
 const NO_SERVICE_RETRY: Duration = Duration::from_secs(1);
 
@@ -41,7 +40,7 @@
     arrived: Moment,
 ) -> Result<Job, Refusal> {
     let Some(config) = gateway.config() else {
-        return Err(refuse(Kind::NoConfiguration, NO_CONFIGURATION_RETRY));
+        return Err(refuse(Kind::NoConfiguration, first_retry(gateway.now(), rand::random())));
     };
     let host = head.uri.host().or_else(|| head.headers.get(header::HOST)?.to_str().ok());
     let (route, account) = match allow(&config, host, head.uri.path(), ask.key.as_deref()) {
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod listener;
 mod pool;
 mod reply;
+mod retry;
 mod run;
 mod send;
 
@@ -23,6 +24,7 @@
 pub use reply::Body;
 pub use reply::Refusal;
 pub use reply::answer as answer_of;
+pub use retry::first_retry;
 pub use run::patient;
 pub use send::Answered;
 pub use send::Sent;
--- a/crates/gateway/src/peer/fetch.rs
+++ b/crates/gateway/src/peer/fetch.rs
@@ -47,6 +47,7 @@
         Ok(Ok(document)) => {
             info!(target: "config", peer:%, version = document.version; "fetched from a peer");
             gateway.offer_config(document.body, "peer");
+            gateway.offer_fleet(&document.servers);
         }
         Ok(Err(error)) => warn!(target: "config", peer:%, error:%; "a peer's configuration failed"),
         Err(_) => warn!(target: "config", peer:%; "a peer's configuration did not come in time"),
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -1,3 +1,4 @@
+use crate::fleet;
 use crate::load;
 
 /// What a daemon tells of one server.
@@ -104,15 +105,79 @@
     pub demand_short: f32,
 }
 
-/// A configuration that a daemon hands to a peer.
+/// What a daemon hands to a peer that the store does not serve.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Document {
-    /// Its version; 0 for none.
+    /// Version of its configuration; 0 for none.
     #[prost(uint64, tag = "1")]
     pub version: u64,
-    /// The document as the store holds it.
+    /// The configuration as the store holds it.
     #[prost(bytes = "bytes", tag = "2")]
     pub body: bytes::Bytes,
+    /// The backend servers that it knows.
+    #[prost(message, repeated, tag = "3")]
+    pub servers: Vec<Server>,
+}
+
+/// A backend server.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Server {
+    /// Its id.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Its service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Where it takes requests.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Requests that it runs at once.
+    #[prost(uint32, tag = "4")]
+    pub slots: u32,
+    /// Whether it is leaving.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+    /// Start of this incarnation, in Unix milliseconds; none where it is not stated.
+    #[prost(uint64, optional, tag = "6")]
+    pub born_ms: Option<u64>,
+}
+
+/// A part of a message that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreadable(String);
+
+impl std::fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl From<&fleet::Server> for Server {
+    fn from(server: &fleet::Server) -> Self {
+        Self {
+            id: server.id.to_string(),
+            service: server.service.to_string(),
+            address: server.address.to_string(),
+            slots: server.slots,
+            leaving: server.leaving,
+            born_ms: server.born_ms,
+        }
+    }
+}
+
+impl TryFrom<&Server> for fleet::Server {
+    type Error = Unreadable;
+
+    fn try_from(server: &Server) -> Result<Self, Self::Error> {
+        Ok(Self {
+            id: server.id.parse().map_err(|e| Unreadable(format!("id: {e}")))?,
+            service: server.service.parse().map_err(|e| Unreadable(format!("service: {e}")))?,
+            address: server.address.parse().map_err(|e| Unreadable(format!("address: {e}")))?,
+            slots: server.slots,
+            leaving: server.leaving,
+            born_ms: server.born_ms,
+        })
+    }
 }
 
 impl Load {
