gateway: a daemon that has just started lets requests wait for its configuration

Callers that had tried before the start and came back then had no try left, so a Retry-After, long or short, did not help them. A request now waits for the configuration and the servers, a fifth of its caller's time at most; then it is refused with Retry-After 1.5 to 3 s. A daemon cannot know whether the store answers in time; it mostly does.

--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::timeout;
 
 use crate::budget::Budget;
 use crate::config::Config;
@@ -47,6 +48,8 @@
     document: RefCell<Bytes>,
     pub(super) fleet: RefCell<fleet::Table>,
     fleet_known: Cell<bool>,
+    /// Tells requests that wait that the configuration or the servers are known.
+    learned: Notify,
     pub(super) ledger: RefCell<Ledger>,
     pub(super) health: RefCell<Health>,
     pub(super) heard: RefCell<HashMap<runner::Id, Moment>>,
@@ -79,6 +82,7 @@
             document: RefCell::default(),
             fleet: RefCell::default(),
             fleet_known: Cell::new(false),
+            learned: Notify::new(),
             ledger: RefCell::default(),
             health: RefCell::default(),
             heard: RefCell::default(),
@@ -187,11 +191,33 @@
         );
         *self.document.borrow_mut() = document;
         *self.config.borrow_mut() = Some(Rc::new(config));
+        self.learned.notify_waiters();
     }
 
     /// Notes that the list of backend servers was read once.
     pub fn set_fleet_known(&self) {
         self.fleet_known.set(true);
+        self.learned.notify_waiters();
+    }
+
+    /// Waits until the configuration and the servers are known, `limit` at most.
+    pub async fn wait_known(&self, limit: Duration) {
+        let known = async {
+            loop {
+                let learned = self.learned.notified();
+                if self.is_known() {
+                    return;
+                }
+                learned.await;
+            }
+        };
+        if timeout(limit, known).await.is_err() {
+            log::debug!(target: "request", "waited in vain for the configuration");
+        }
+    }
+
+    fn is_known(&self) -> bool {
+        self.config.borrow().is_some() && self.fleet_known.get()
     }
 
     /// Takes in the backend servers that a peer knows, where the store has not told of any yet.
@@ -225,8 +251,7 @@
 
     /// Tells whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        let known = self.config.borrow().is_some() && self.fleet_known.get();
-        known && self.phase() == Phase::Serving
+        self.is_known() && self.phase() == Phase::Serving
     }
 
     /// Returns the phase of the stop.
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -26,8 +26,13 @@
 use crate::dialect::Ask;
 use crate::http::Job;
 use crate::http::Refusal;
-use crate::http::first_retry;
+use crate::http::outage_retry;
 
+/// Part of its caller's time that a request waits for a daemon that has just started to learn its
+/// configuration and servers: a caller that tries once more only is not turned away for good.
+const START_WAIT_PART: f64 = 0.2;
+/// How long a caller waits that does not say so.
+const USUAL_PATIENCE: Duration = Duration::from_secs(5);
 /// When to come again where the configuration names a service without saying anything of it.
 const NO_SERVICE_RETRY: Duration = Duration::from_secs(1);
 
@@ -39,8 +44,10 @@
     body: Incoming,
     arrived: Moment,
 ) -> Result<Job, Refusal> {
+    let patience = ask.patience.unwrap_or(USUAL_PATIENCE);
+    gateway.wait_known(patience.mul_f64(START_WAIT_PART)).await;
     let Some(config) = gateway.config() else {
-        return Err(refuse(Kind::NoConfiguration, first_retry(gateway.now(), rand::random())));
+        return Err(refuse(Kind::NoConfiguration, outage_retry(rand::random())));
     };
     let host = head.uri.host().or_else(|| head.headers.get(header::HOST)?.to_str().ok());
     let (route, account) = match allow(&config, host, head.uri.path(), ask.key.as_deref()) {
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -24,7 +24,7 @@
 pub use reply::Body;
 pub use reply::Refusal;
 pub use reply::answer as answer_of;
-pub use retry::first_retry;
+pub use retry::outage_retry;
 pub use run::patient;
 pub use send::Answered;
 pub use send::Sent;
