soak: a randomized soak on the platform; a stream runs where its route allows, ends of servers are proved

The relay began to count anew when the answer began. A broken connection now counts only if the server takes no connections any more.

Not covered: memory of engines (the stand-ins hold none), times of leaving, clocks (the product does not use the time of day).

--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -1,5 +1,9 @@
 //! The budget, the placement and the load of a request.
 
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+
 use kumquattiller_base::error::Kind;
 use kumquattiller_base::runner;
 use kumquattiller_base::size::Tokens;
@@ -10,6 +14,7 @@
 use crate::dialect::Helper;
 use crate::fleet::Server;
 use crate::http::Job;
+use crate::http::dial;
 use crate::load::Demand;
 use crate::load::Work;
 use crate::load::group_of;
@@ -26,6 +31,9 @@
 use crate::suspect;
 use crate::ticket::Tickets;
 
+/// Longest time to find out whether a server still takes connections.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
 impl Gateway {
     /// Counts an admitted request for the retry budget of its service.
     pub fn count_request(&self, job: &Job) {
@@ -66,9 +74,29 @@
         allowed
     }
 
-    /// Counts that a request's server broke while it ran the request.
-    pub fn count_death(&self, job: &Job) {
+    /// Finds out whether a server ended while it ran a request, and counts that against the
+    /// request. A connection that broke says little by itself: the network may have cut it.
+    pub fn suspect(self: &Rc<Self>, job: &Rc<Job>, server: &runner::Id) {
+        let Some(address) = self.fleet.borrow().server(server).map(|s| s.address) else {
+            return;
+        };
+        let (gateway, job, server) = (self.clone(), job.clone(), server.clone());
+        tokio::task::spawn_local(async move {
+            let refused = match dial(address, PROBE_TIMEOUT).await {
+                Ok(_) => false,
+                Err(error) => error.kind() == ErrorKind::ConnectionRefused,
+            };
+            if refused {
+                gateway.count_death(&job, &server);
+            } else {
+                info!(target: "request", id = job.ask.id, server:%; "its server has not ended");
+            }
+        });
+    }
+
+    fn count_death(&self, job: &Job, server: &runner::Id) {
         let deaths = self.suspects.borrow_mut().died(job.fingerprint, self.now());
+        info!(target: "request", id = job.ask.id, server:%, deaths; "its server ended");
         if deaths >= suspect::DEATH_LIMIT {
             info!(target: "request", id = job.ask.id, deaths; "request is suspect");
         }
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -31,6 +31,7 @@
 use crate::http::send;
 use crate::relay;
 use crate::relay::Flight;
+use crate::relay::Past;
 use crate::ticket::Tickets;
 
 /// Largest whole answer that is held, in bytes.
@@ -106,7 +107,7 @@
         tried.push(placement.server.clone());
         let flight = Flight::start(gateway, job, &placement, tickets);
         let sent = attempt.send();
-        match once(gateway, job, flight, sends).await {
+        match once(gateway, job, flight, &tried, sends).await {
             Ended::Final(response) => return Ok(response),
             Ended::Late => return Err(Refusal::maybe_run(Kind::DeadlineExceeded)),
             Ended::NotRun => {
@@ -144,7 +145,13 @@
 }
 
 /// Sends a request to one server.
-async fn once(gateway: &Rc<Gateway>, job: &Rc<Job>, flight: Flight, sends: u32) -> Ended {
+async fn once(
+    gateway: &Rc<Gateway>,
+    job: &Rc<Job>,
+    flight: Flight,
+    tried: &[runner::Id],
+    sends: u32,
+) -> Ended {
     let Some(server) = flight.server() else {
         return Ended::Unsent;
     };
@@ -162,10 +169,13 @@
         }
         Sent::Lost(error) => {
             flight.note_error(Outcome::Broken, &error);
-            gateway.count_death(job);
+            gateway.suspect(job, &flight.placement().server);
             Ended::Failed(None)
         }
-        Sent::Answered(answered) => take(gateway, job, flight, *answered).await,
+        Sent::Answered(answered) => {
+            let past = Past { tried: tried.to_vec(), sends: sends + 1 };
+            take(gateway, job, flight, past, *answered).await
+        }
     }
 }
 
@@ -194,7 +204,13 @@
 }
 
 /// Takes in an answer.
-async fn take(gateway: &Rc<Gateway>, job: &Rc<Job>, flight: Flight, answered: Answered) -> Ended {
+async fn take(
+    gateway: &Rc<Gateway>,
+    job: &Rc<Job>,
+    flight: Flight,
+    past: Past,
+    answered: Answered,
+) -> Ended {
     let verdict = judge(&job.ask.id, answered.head.status, &answered.answer);
     match verdict {
         Verdict::Foreign => {
@@ -210,13 +226,13 @@
             Ended::NotRun
         }
         Verdict::Success if job.route.streaming => {
-            Ended::Final(relay::response(gateway.clone(), job.clone(), flight, answered))
+            Ended::Final(relay::response(gateway.clone(), job.clone(), flight, past, answered))
         }
         Verdict::Success | Verdict::Failure => {
             let head = answered.head.clone();
             let Some(body) = whole(gateway, job, answered).await else {
                 flight.note(Outcome::Broken, "the answer broke off");
-                gateway.count_death(job);
+                gateway.suspect(job, &flight.placement().server);
                 return Ended::Failed(None);
             };
             finish(gateway, job, flight, verdict, &head, body)
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -6,4 +6,5 @@
 
 pub use broken::Broken;
 pub use flight::Flight;
+pub use stream::Past;
 pub use stream::response;
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -52,6 +52,15 @@
     body: Incoming,
 }
 
+/// What a stream has behind it when it begins.
+#[derive(Debug)]
+pub struct Past {
+    /// Servers that it was sent to, its present one among them.
+    pub tried: Vec<runner::Id>,
+    /// How often it was sent to a server.
+    pub sends: u32,
+}
+
 /// A stream on its way to the caller. Dropping it closes the connection to the server.
 struct Relay {
     gateway: Rc<Gateway>,
@@ -75,18 +84,19 @@
     gateway: Rc<Gateway>,
     job: Rc<Job>,
     flight: Flight,
+    past: Past,
     answered: Answered,
 ) -> Response<Body> {
     let Answered { connection, head, answer, body } = answered;
     let headers = gateway.dialect().answer_headers(&head.headers);
     let last = gateway.now();
     let relay = Relay {
-        tried: vec![flight.placement().server.clone()],
+        tried: past.tried,
         gateway,
         job,
         part: Some(Part { flight, connection, answer, body }),
         splitter: Splitter::default(),
-        sends: 1,
+        sends: past.sends,
         first: None,
         last,
         pieces: 0,
@@ -127,8 +137,8 @@
                     return None;
                 }
                 Next::Broken(error) => {
+                    self.gateway.suspect(&self.job, &part.flight.placement().server);
                     self.lose(Outcome::Broken, &error.to_string());
-                    self.gateway.count_death(&self.job);
                 }
                 Next::Silent => self.lose(Outcome::Silent, "no event in time"),
                 Next::Late => {
--- a/crates/gateway/src/suspect.rs
+++ b/crates/gateway/src/suspect.rs
@@ -1,6 +1,6 @@
 //! Requests that may have ended the servers that ran them.
 //!
-//! A request whose connection broke while it ran is counted by its fingerprint, here and at the
+//! A request whose server ended while it ran is counted by its fingerprint, here and at the
 //! peers. One that has broken [`DEATH_LIMIT`] servers is not sent again for a while.
 
 use std::collections::HashMap;
--- a/crates/support/src/program.rs
+++ b/crates/support/src/program.rs
@@ -61,6 +61,11 @@
         self.signal("TERM");
     }
 
+    /// Tells the process that its settings changed (SIGHUP).
+    pub fn reload(&self) {
+        self.signal("HUP");
+    }
+
     /// Tells whether the process has not ended.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -17,6 +17,7 @@
 mod overhead;
 mod readme;
 mod slopes;
+mod soak;
 mod test;
 
 /// What a chore returns.
@@ -36,6 +37,7 @@
   overhead             measure the path against calling a stand-in engine directly
   readme               put the demo's output into the README
   slopes [--check]     measure what processes cost at rising sizes, or check the page's tables
+  soak                 break promises by faults: --seeds A-B, --minutes M, --report DIR
   test                 run all tests but those in KNOWN-RED.txt, which are printed
 ";
 
@@ -50,6 +52,7 @@
         Some("overhead") => overhead::exec(args),
         Some("readme") => readme::exec(args),
         Some("slopes") => slopes::exec(args),
+        Some("soak") => soak::exec(args),
         Some("test") => test::exec(args),
         _ => Err(USAGE.into()),
     };
