gateway, placement: large prompts wait for room; alone up to 0.97 of an engine's memory

Cause: after the one queue a server, prompts of subsidy-recon that no engine's memory holds were still refused at the moment they came and once more 0.4 s later, when nothing had changed. A log of the costs shows the servers' use as the reason on all of them, never want of memory. A prompt that could find room waits 0.3 of its aim for it, with a look every 100 ms; one that no set of servers holds is refused at once. Retry-After says when half of the servers have read what they were sent. A prompt is held by one engine up to 0.97 of its memory, no longer 0.9.

--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Server;
 use crate::http::Job;
 use crate::http::dial;
+use crate::http::room_retry;
 use crate::load::Demand;
 use crate::load::Work;
 use crate::load::group_of;
@@ -23,6 +24,7 @@
 use crate::placement::Placement;
 use crate::placement::Reason;
 use crate::placement::Request;
+use crate::placement::fits;
 use crate::placement::is_joint;
 use crate::placement::is_long;
 use crate::placement::place_plain;
@@ -109,7 +111,8 @@
         match (&job.service.engine, &job.ask.prompt) {
             (Some(profile), Some(prompt)) => {
                 let demand = self.ledger.borrow().demand(now);
-                let request = Request { prompt, aim: job.route.aim, gap: job.route.gap, profile };
+                let aim = job.route.aim.saturating_sub(now.since(job.arrived));
+                let request = Request { prompt, aim, gap: job.route.gap, profile };
                 place_prompt(&request, &candidates, &demand, self.unseen(&demand))
             }
             _ => place_plain(&candidates, rand::random()),
@@ -123,6 +126,21 @@
         if none { Kind::NoRunner } else { Kind::MemoryFull }
     }
 
+    /// Tells whether a request that found no room may find some when other requests end.
+    pub fn may_find_room(&self, job: &Job) -> bool {
+        let servers = self.fleet.borrow().usable(&job.service.name).len();
+        match (&job.service.engine, &job.ask.prompt) {
+            (Some(profile), Some(prompt)) => fits(prompt, profile, servers),
+            _ => false,
+        }
+    }
+
+    /// Returns when a request may come again that found no room.
+    pub fn room_retry(&self, job: &Job) -> Duration {
+        let candidates = self.candidates(job, &[], self.now());
+        room_retry(candidates.iter().map(|c| c.load.unread_ms).collect(), rand::random())
+    }
+
     /// Returns how many short prompts the other daemons have placed since they last told of theirs.
     fn unseen(&self, demand: &Demand) -> f64 {
         let peers = self.peers.borrow().alive(self.now());
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -25,6 +25,7 @@
 pub use reply::Refusal;
 pub use reply::answer as answer_of;
 pub use retry::outage_retry;
+pub use retry::room_retry;
 pub use run::patient;
 pub use send::Answered;
 pub use send::Sent;
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -29,6 +29,7 @@
 use crate::http::judge;
 use crate::http::reply;
 use crate::http::send;
+use crate::placement::Placement;
 use crate::relay;
 use crate::relay::Flight;
 use crate::relay::Past;
@@ -38,6 +39,10 @@
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// When to come again where no server takes the request now.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(400);
+/// Part of its aim that a request waits for room in the servers' memory.
+const ROOM_WAIT_PART: f64 = 0.3;
+/// Time between two looks for room.
+const ROOM_PAUSE: Duration = Duration::from_millis(100);
 /// Connections to different servers that are tried before a request is refused.
 const MAX_UNSENT: u32 = 4;
 
@@ -98,11 +103,11 @@
     let mut unsent = 0;
     let mut tried = Vec::new();
     loop {
-        let Some(placement) = gateway.place(job, &tried) else {
-            return Err(refuse(attempt, gateway.no_placement(job)));
+        let Some(placement) = place(gateway, job, &tried).await else {
+            return Err(refuse(attempt, gateway.no_placement(job), gateway.room_retry(job)));
         };
         let Ok(tickets) = Tickets::of(gateway, &job.ask.id, &placement).await else {
-            return Err(refuse(attempt, Kind::MemoryFull));
+            return Err(refuse(attempt, Kind::MemoryFull, gateway.room_retry(job)));
         };
         tried.push(placement.server.clone());
         let flight = Flight::start(gateway, job, &placement, tickets);
@@ -114,14 +119,14 @@
                 attempt = sent.refuse().again();
                 sends += 1;
                 if sends >= job.route.max_attempts || !gateway.may_resend(job) {
-                    return Err(refuse(attempt, Kind::Overloaded));
+                    return Err(refuse(attempt, Kind::Overloaded, NO_SERVER_RETRY));
                 }
             }
             Ended::Unsent => {
                 attempt = sent.refuse().again();
                 unsent += 1;
                 if unsent >= MAX_UNSENT {
-                    return Err(refuse(attempt, Kind::NoRunner));
+                    return Err(refuse(attempt, Kind::NoRunner, NO_SERVER_RETRY));
                 }
             }
             Ended::Failed(answer) => {
@@ -136,10 +141,24 @@
     }
 }
 
+/// Places a request. One that the servers' memory does not hold now, or only at the cost of
+/// others, waits a part of its aim for room: prompts of that size are few and room comes soon.
+async fn place(gateway: &Rc<Gateway>, job: &Rc<Job>, tried: &[runner::Id]) -> Option<Placement> {
+    let end = job.arrived + job.route.aim.mul_f64(ROOM_WAIT_PART);
+    loop {
+        let placement = gateway.place(job, tried);
+        let waits = gateway.may_find_room(job) && gateway.now() < end;
+        if placement.is_some() || !waits {
+            return placement;
+        }
+        tokio::time::sleep(ROOM_PAUSE).await;
+    }
+}
+
 /// Refuses a request; says that it has not run only where that is proved.
-fn refuse(attempt: Attempt<Unsent>, kind: Kind) -> Refusal {
+fn refuse(attempt: Attempt<Unsent>, kind: Kind, retry_after: Duration) -> Refusal {
     match attempt.not_started() {
-        Some(proof) => Refusal::not_run(proof, kind, NO_SERVER_RETRY),
+        Some(proof) => Refusal::not_run(proof, kind, retry_after),
         None => Refusal::maybe_run(kind),
     }
 }
--- a/crates/gateway/src/placement/joint.rs
+++ b/crates/gateway/src/placement/joint.rs
@@ -2,6 +2,8 @@
 
 use kumquattiller_base::size::Tokens;
 
+use crate::dialect::Prompt;
+use crate::engine::Profile;
 use crate::load::Demand;
 use crate::placement::Candidate;
 use crate::placement::Division;
@@ -17,7 +19,7 @@
 
 /// Part of what a prompt gains that its placement costs others at most. What is foreseen is less
 /// than all that it harms: prompts come later that find its servers reading.
-const MOST_COST: f64 = 0.4;
+const MOST_COST: f64 = 0.45;
 /// What a second of reading long prompts is worth.
 const WORTH_PER_READING_S: f64 = 6.5;
 /// Part of their worth that prompts lose whose servers are blocked when they come.
@@ -59,6 +61,13 @@
     })
 }
 
+/// Tells whether so many servers with nothing else to do would hold a prompt.
+pub fn fits(prompt: &Prompt, profile: &Profile, servers: usize) -> bool {
+    let memory = prompt.tokens.saturating_add(prompt.answer).get() as f64;
+    let most = servers.min(MAX_HELPERS + 1) as f64;
+    memory <= profile.memory.get() as f64 * FREE_PART * most
+}
+
 /// Returns the tokens that a server has room for.
 fn free(request: &Request<'_>, candidate: &Candidate) -> u64 {
     let free = request.profile.memory.get().saturating_sub(candidate.load.memory);
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -10,6 +10,7 @@
 
 pub use candidate::Candidate;
 pub use division::Division;
+pub use joint::fits;
 pub use plain::place_plain;
 pub use plan::Placement;
 pub use plan::Reason;
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -39,7 +39,7 @@
 const PART_COST: f64 = 0.02;
 
 /// Part of an engine's memory that one prompt takes at most without others' memory.
-const ALONE_PART: f64 = 0.9;
+const ALONE_PART: f64 = 0.97;
 
 /// A prompt that is to be placed.
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/tests/testsuite/decisions.rs
+++ b/crates/gateway/tests/testsuite/decisions.rs
@@ -13,6 +13,8 @@
 use kumquattiller_gateway::health::Outcome;
 use kumquattiller_gateway::http::Verdict;
 use kumquattiller_gateway::http::judge;
+use kumquattiller_gateway::http::outage_retry;
+use kumquattiller_gateway::http::room_retry;
 use kumquattiller_gateway::stop::Phase;
 use kumquattiller_gateway::stop::Stop;
 use kumquattiller_gateway::suspect::DEATH_LIMIT;
@@ -185,3 +187,22 @@
     assert!(there.is_usable(&id(), Moment::from_millis(600)));
     assert_eq!(there.without_part(Moment::ZERO).count(), 0);
 }
+
+#[test_case(&[], 0.0, 500; "no server")]
+#[test_case(&[0.0, 100.0, 200.0], 0.0, 500; "little to read")]
+#[test_case(&[100.0, 900.0, 5_000.0], 0.0, 900; "half have read")]
+#[test_case(&[9_000.0; 3], 0.0, 2_000; "much to read")]
+#[test_case(&[900.0; 3], 1.0, 1_350; "spread")]
+fn a_caller_comes_back_when_half_of_the_servers_have_read(
+    unread_ms: &[f64],
+    draw: f64,
+    after_ms: u64,
+) {
+    assert_eq!(room_retry(unread_ms.to_vec(), draw), Duration::from_millis(after_ms));
+}
+
+#[test_case(0.0, 1_500; "first")]
+#[test_case(1.0, 3_000; "last")]
+fn callers_of_an_outage_come_back_spread(draw: f64, after_ms: u64) {
+    assert_eq!(outage_retry(draw), Duration::from_millis(after_ms));
+}
