gateway: a refused prompt's line says what decided; state and run split by job

The line 'refused' with memory_full did not say whether memory or cost decided, nor a plain request's whether it had any server left (all that were left out as tried counted as memory_full). Placement now returns why it declined, with what others would lose and what the prompt would gain; the line 'no place' has both, the peers heard and the wait. gateway/state.rs had grown to 384 lines and http/run.rs to 340: what a daemon knows, its stop, and where a request goes have files of their own.

--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kumquattiller_base::error::Kind;
 use kumquattiller_base::runner;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
@@ -21,6 +20,7 @@
 use crate::load::group_of;
 use crate::peer;
 use crate::placement::Candidate;
+use crate::placement::Declined;
 use crate::placement::Placement;
 use crate::placement::Reason;
 use crate::placement::Request;
@@ -105,7 +105,11 @@
     }
 
     /// Chooses the servers of a request, none of `tried`.
-    pub fn place(&self, job: &Job, tried: &[runner::Id]) -> Option<Placement> {
+    ///
+    /// # Errors
+    ///
+    /// Fails where the request is placed nowhere.
+    pub fn place(&self, job: &Job, tried: &[runner::Id]) -> Result<Placement, Declined> {
         let now = self.now();
         let candidates = self.candidates(job, tried, now);
         match (&job.service.engine, &job.ask.prompt) {
@@ -119,13 +123,6 @@
         }
     }
 
-    /// Returns why a request was not placed: its service has no server, or the servers' memory
-    /// does not hold its prompt beside what they do.
-    pub fn no_placement(&self, job: &Job) -> Kind {
-        let none = self.fleet.borrow().usable(&job.service.name).is_empty();
-        if none { Kind::NoRunner } else { Kind::MemoryFull }
-    }
-
     /// Tells whether a request that found no room may find some when other requests end.
     pub fn may_find_room(&self, job: &Job) -> bool {
         let servers = self.fleet.borrow().usable(&job.service.name).len();
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -3,27 +3,22 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use kumquattiller_base::runner;
 use kumquattiller_base::service;
 use kumquattiller_base::time::Moment;
 use kumquattiller_link::Clock;
-use log::error;
 use log::info;
-use log::warn;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use tokio::time::timeout;
 
 use crate::budget::Budget;
 use crate::config::Config;
 use crate::config::Version;
 use crate::dialect::Dialect;
 use crate::fleet;
-use crate::fleet::Change;
 use crate::health::Health;
 use crate::health::Outcome;
 use crate::http::Pool;
@@ -42,26 +37,26 @@
 pub struct Gateway {
     pub(super) clock: Clock,
     pub(super) settings: Settings,
-    dialect: Rc<dyn Dialect>,
-    config: RefCell<Option<Rc<Config>>>,
+    pub(super) dialect: Rc<dyn Dialect>,
+    pub(super) config: RefCell<Option<Rc<Config>>>,
     /// The configuration as the store holds it.
-    document: RefCell<Bytes>,
+    pub(super) document: RefCell<Bytes>,
     pub(super) fleet: RefCell<fleet::Table>,
-    fleet_known: Cell<bool>,
+    pub(super) fleet_known: Cell<bool>,
     /// Tells requests that wait that the configuration or the servers are known.
-    learned: Notify,
+    pub(super) learned: Notify,
     pub(super) ledger: RefCell<Ledger>,
     pub(super) health: RefCell<Health>,
     pub(super) heard: RefCell<HashMap<runner::Id, Moment>>,
     pub(super) suspects: RefCell<Suspects>,
     pub(super) budgets: RefCell<HashMap<service::Name, Budget>>,
     pub(super) peers: RefCell<peer::Table>,
-    fetching: Cell<bool>,
+    pub(super) fetching: Cell<bool>,
     announcement: Notify,
-    pool: Pool,
+    pub(super) pool: Pool,
     pub(super) metrics: Metrics,
-    stop: Cell<Stop>,
-    phase: watch::Sender<Phase>,
+    pub(super) stop: Cell<Stop>,
+    pub(super) phase: watch::Sender<Phase>,
 }
 
 impl std::fmt::Debug for Gateway {
@@ -137,6 +132,11 @@
         &self.peers
     }
 
+    /// Returns how many other daemons are heard.
+    pub fn peers_alive(&self) -> usize {
+        self.peers.borrow().alive(self.now())
+    }
+
     /// Returns the health of servers.
     pub const fn health(&self) -> &RefCell<Health> {
         &self.health
@@ -171,136 +171,6 @@
         self.config.borrow().as_ref().map(|c| c.version()).unwrap_or_default()
     }
 
-    /// Takes a configuration into force if it is newer than the present one. `source` tells the
-    /// log where it came from.
-    pub fn offer_config(&self, document: Bytes, source: &str) {
-        let config = match self.dialect.config(&document) {
-            Ok(config) => config,
-            Err(reason) => {
-                error!(target: "config", source, reason:%; "a configuration cannot be read");
-                return;
-            }
-        };
-        let (old, new) = (self.version(), config.version());
-        if new <= old {
-            return;
-        }
-        info!(
-            target: "config", version:% = new, old:%, source, routes = config.route_count();
-            "configuration in force"
-        );
-        *self.document.borrow_mut() = document;
-        *self.config.borrow_mut() = Some(Rc::new(config));
-        self.learned.notify_waiters();
-    }
-
-    /// Notes that the list of backend servers was read once.
-    pub fn set_fleet_known(&self) {
-        self.fleet_known.set(true);
-        self.learned.notify_waiters();
-    }
-
-    /// Waits until the configuration and the servers are known, `limit` at most.
-    pub async fn wait_known(&self, limit: Duration) {
-        let known = async {
-            loop {
-                let learned = self.learned.notified();
-                if self.is_known() {
-                    return;
-                }
-                learned.await;
-            }
-        };
-        if timeout(limit, known).await.is_err() {
-            log::debug!(target: "request", "waited in vain for the configuration");
-        }
-    }
-
-    fn is_known(&self) -> bool {
-        self.config.borrow().is_some() && self.fleet_known.get()
-    }
-
-    /// Takes in the backend servers that a peer knows, where the store has not told of any yet.
-    pub fn offer_fleet(&self, servers: &[peer::Server]) {
-        if self.fleet_known.get() || servers.is_empty() {
-            return;
-        }
-        for server in servers {
-            match fleet::Server::try_from(server) {
-                Ok(server) => _ = self.fleet.borrow_mut().put(server),
-                Err(reason) => warn!(target: "peer", reason:%; "a peer's server cannot be read"),
-            }
-        }
-        info!(target: "fleet", known = self.fleet.borrow().len(); "servers known from a peer");
-        self.set_fleet_known();
-    }
-
-    /// Applies what a change of a registration means to the state of this daemon, and logs it.
-    pub fn note_change(&self, id: &runner::Id, change: Change) {
-        match change {
-            Change::Same => return,
-            Change::Joined => {
-                self.health.borrow_mut().reset(id);
-                self.pool.drop_server(id);
-            }
-            Change::Leaving | Change::Gone | Change::Lapsed => {}
-        }
-        let known = self.fleet.borrow().len();
-        info!(target: "fleet", server:% = id, change:%, known; "server changed");
-    }
-
-    /// Tells whether the balancer may send callers here.
-    pub fn is_ready(&self) -> bool {
-        self.is_known() && self.phase() == Phase::Serving
-    }
-
-    /// Returns the phase of the stop.
-    pub fn phase(&self) -> Phase {
-        self.stop.get().phase(self.now())
-    }
-
-    /// Tells whether a request that is expected to last so long may begin here.
-    pub fn takes(&self, expected: Duration) -> bool {
-        self.stop.get().takes(expected, self.now())
-    }
-
-    /// Returns when a caller that is refused for the stop may come again: at once where another
-    /// daemon takes requests, else when this one is back.
-    pub fn stop_retry(&self) -> Duration {
-        let now = self.now();
-        if self.peers.borrow().is_any_serving(now) {
-            return Duration::ZERO;
-        }
-        self.stop.get().back_after(now)
-    }
-
-    /// Begins the graceful stop and returns when what ran has ended or the grace is over.
-    pub async fn finish(&self) {
-        let mut stop = self.stop.get();
-        stop.ask(self.now());
-        self.stop.set(stop);
-        loop {
-            let phase = self.phase();
-            self.phase.send_if_modified(|old| std::mem::replace(old, phase) != phase);
-            let idle = self.ledger.borrow().is_empty();
-            if phase == Phase::Over || (phase == Phase::Finishing && idle) {
-                break;
-            }
-            tokio::time::sleep(crate::stop::INTERVAL).await;
-        }
-        info!(target: "process", unfinished = self.ledger.borrow().len(); "stopped");
-        tokio::time::sleep(crate::stop::INTERVAL).await;
-    }
-
-    /// Waits until this daemon takes no new requests.
-    pub async fn wait_finishing(&self) {
-        let mut phase = self.phase.subscribe();
-        let refusing = |p: &Phase| matches!(p, Phase::Finishing | Phase::Over);
-        if phase.wait_for(refusing).await.is_err() {
-            log::debug!(target: "process", "the gateway has ended");
-        }
-    }
-
     /// Asks that the peers are told at once of what this daemon has in flight.
     pub fn announce(&self) {
         self.announcement.notify_one();
@@ -311,16 +181,6 @@
         self.announcement.notified().await;
     }
 
-    /// Claims the one fetch of a configuration that may run; returns false when one runs.
-    pub fn begin_fetch(&self) -> bool {
-        !self.fetching.replace(true)
-    }
-
-    /// Ends the fetch.
-    pub fn end_fetch(&self) {
-        self.fetching.set(false);
-    }
-
     /// Takes in how a send to a server went.
     pub fn note_health(&self, server: &runner::Id, outcome: Outcome) {
         let pause = self.health.borrow_mut().note(server, outcome, self.now());
@@ -372,7 +232,7 @@
         self.metrics.encode(State {
             version: self.version().get(),
             servers: self.fleet.borrow().len(),
-            peers: self.peers.borrow().alive(self.now()),
+            peers: self.peers_alive(),
             in_flight: self.ledger.borrow().len(),
         })
     }
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod dial;
 mod job;
 mod listener;
+mod place;
 mod pool;
 mod reply;
 mod retry;
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -1,5 +1,4 @@
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -8,8 +7,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use kumquattiller_base::attempt::Attempt;
-use kumquattiller_base::attempt::Unsent;
 use kumquattiller_base::error::Kind;
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
@@ -27,9 +24,12 @@
 use crate::http::Verdict;
 use crate::http::admission;
 use crate::http::judge;
+use crate::http::place::decline;
+use crate::http::place::place;
+use crate::http::place::refuse;
 use crate::http::reply;
 use crate::http::send;
-use crate::placement::Placement;
+use crate::placement::Declined;
 use crate::relay;
 use crate::relay::Flight;
 use crate::relay::Past;
@@ -37,12 +37,6 @@
 
 /// Largest whole answer that is held, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// When to come again where no server takes the request now.
-const NO_SERVER_RETRY: Duration = Duration::from_millis(400);
-/// Part of its aim that a request waits for room in the servers' memory.
-const ROOM_WAIT_PART: f64 = 0.3;
-/// Time between two looks for room.
-const ROOM_PAUSE: Duration = Duration::from_millis(100);
 /// Connections to different servers that are tried before a request is refused.
 const MAX_UNSENT: u32 = 4;
 
@@ -103,11 +97,12 @@
     let mut unsent = 0;
     let mut tried = Vec::new();
     loop {
-        let Some(placement) = place(gateway, job, &tried).await else {
-            return Err(refuse(attempt, gateway.no_placement(job), gateway.room_retry(job)));
+        let placement = match place(gateway, job, &tried).await {
+            Ok(placement) => placement,
+            Err(declined) => return Err(decline(gateway, job, attempt, declined)),
         };
         let Ok(tickets) = Tickets::of(gateway, &job.ask.id, &placement).await else {
-            return Err(refuse(attempt, Kind::MemoryFull, gateway.room_retry(job)));
+            return Err(decline(gateway, job, attempt, Declined::NoRoom));
         };
         tried.push(placement.server.clone());
         let flight = Flight::start(gateway, job, &placement, tickets);
@@ -119,14 +114,14 @@
                 attempt = sent.refuse().again();
                 sends += 1;
                 if sends >= job.route.max_attempts || !gateway.may_resend(job) {
-                    return Err(refuse(attempt, Kind::Overloaded, NO_SERVER_RETRY));
+                    return Err(refuse(attempt, Kind::Overloaded));
                 }
             }
             Ended::Unsent => {
                 attempt = sent.refuse().again();
                 unsent += 1;
                 if unsent >= MAX_UNSENT {
-                    return Err(refuse(attempt, Kind::NoRunner, NO_SERVER_RETRY));
+                    return Err(refuse(attempt, Kind::NoRunner));
                 }
             }
             Ended::Failed(answer) => {
@@ -141,28 +136,6 @@
     }
 }
 
-/// Places a request. One that the servers' memory does not hold now, or only at the cost of
-/// others, waits a part of its aim for room: prompts of that size are few and room comes soon.
-async fn place(gateway: &Rc<Gateway>, job: &Rc<Job>, tried: &[runner::Id]) -> Option<Placement> {
-    let end = job.arrived + job.route.aim.mul_f64(ROOM_WAIT_PART);
-    loop {
-        let placement = gateway.place(job, tried);
-        let waits = gateway.may_find_room(job) && gateway.now() < end;
-        if placement.is_some() || !waits {
-            return placement;
-        }
-        tokio::time::sleep(ROOM_PAUSE).await;
-    }
-}
-
-/// Refuses a request; says that it has not run only where that is proved.
-fn refuse(attempt: Attempt<Unsent>, kind: Kind, retry_after: Duration) -> Refusal {
-    match attempt.not_started() {
-        Some(proof) => Refusal::not_run(proof, kind, retry_after),
-        None => Refusal::maybe_run(kind),
-    }
-}
-
 /// Sends a request to one server.
 async fn once(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/placement/joint.rs
+++ b/crates/gateway/src/placement/joint.rs
@@ -6,6 +6,7 @@
 use crate::engine::Profile;
 use crate::load::Demand;
 use crate::placement::Candidate;
+use crate::placement::Declined;
 use crate::placement::Division;
 use crate::placement::Placement;
 use crate::placement::Reason;
@@ -28,16 +29,19 @@
 /// Places a prompt that no engine's memory holds on several that hold it together.
 ///
 /// Answers the few prompts of over an engine's memory, whose reading takes ten seconds of an
-/// engine and more. The servers with most free memory hold it, and others help read it. Where the
-/// streams beside it would lose more than it is worth, it is not placed.
+/// engine and more. The servers with most free memory hold it, and others help read it.
+///
+/// # Errors
+///
+/// Fails where the servers have no room, or the placement costs others too much.
 pub fn place_joint(
     request: &Request<'_>,
     division: &Division<'_>,
     demand: &Demand,
-) -> Option<Placement> {
+) -> Result<Placement, Declined> {
     let mut order: Vec<&Candidate> = division.long.iter().chain(&division.short).copied().collect();
     order.sort_by_key(|c| (Reverse(free(request, c)), c.load.requests, c.rank));
-    let holders = holders(request, &order)?;
+    let holders = holders(request, &order).ok_or(Declined::NoRoom)?;
     let fewest = holders.len() + 1;
     let most = order.len().min(MAX_HELPERS + 1);
     let options = (fewest..=most).map(|parts| {
@@ -45,13 +49,14 @@
         let cost = Cost::of(request, division, demand, &readers);
         (readers, cost)
     });
-    let (readers, cost) = options.min_by(|a, b| a.1.sum().total_cmp(&b.1.sum()))?;
-    let gain = price::worth(request.prompt.tokens) - cost.own;
-    if cost.others > gain * MOST_COST {
-        return None;
+    let least = options.min_by(|a, b| a.1.sum().total_cmp(&b.1.sum()));
+    let (readers, Cost { own, others }) = least.ok_or(Declined::NoRoom)?;
+    let gain = price::worth(request.prompt.tokens) - own;
+    if others > gain * MOST_COST {
+        return Err(Declined::TooDear { others, gain });
     }
     let part_ms = request.read_ms() / readers.len() as f64;
-    Some(Placement {
+    Ok(Placement {
         server: readers[0].id.clone(),
         helpers: readers[1..].iter().map(|c| c.id.clone()).collect(),
         holders,
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -12,6 +12,7 @@
 pub use division::Division;
 pub use joint::fits;
 pub use plain::place_plain;
+pub use plan::Declined;
 pub use plan::Placement;
 pub use plan::Reason;
 pub use price::worth;
--- a/crates/gateway/src/placement/plan.rs
+++ b/crates/gateway/src/placement/plan.rs
@@ -17,6 +17,23 @@
     LongDivision,
 }
 
+/// Why a request is placed nowhere, for the log and the refusal.
+#[derive(Debug, Clone, Copy, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Declined {
+    /// Its service has no server that may get it.
+    NoServer,
+    /// The servers' memory does not hold its prompt beside what they do.
+    NoRoom,
+    /// Its placement would cost others too much for what it gains, both in worth.
+    TooDear {
+        /// What others would lose.
+        others: f64,
+        /// What its answer is worth at the time at which it is expected.
+        gain: f64,
+    },
+}
+
 /// Where a request goes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -6,6 +6,7 @@
 use crate::engine::Profile;
 use crate::load::Demand;
 use crate::placement::Candidate;
+use crate::placement::Declined;
 use crate::placement::Division;
 use crate::placement::Placement;
 use crate::placement::Reason;
@@ -71,21 +72,26 @@
 /// reading takes seconds. Each choice is priced by the worth that it is expected to cost: that of
 /// the request itself when it is late, that of the streams beside which it is read, and that of
 /// the short prompts that come meanwhile.
+///
+/// # Errors
+///
+/// Fails where there is no server, or no room for a prompt that several have to hold.
 pub fn place_prompt(
     request: &Request<'_>,
     candidates: &[Candidate],
     demand: &Demand,
     unseen: f64,
-) -> Option<Placement> {
+) -> Result<Placement, Declined> {
     let division = Division::of(candidates, demand);
     if is_joint(request.prompt, request.profile) {
         return place_joint(request, &division, demand);
     }
-    if is_long(request.prompt, request.profile) {
+    let placement = if is_long(request.prompt, request.profile) {
         place_long(request, &division, demand)
     } else {
         place_short(request, &division, unseen)
-    }
+    };
+    placement.ok_or(Declined::NoServer)
 }
 
 impl Request<'_> {
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -227,7 +227,7 @@
                 return false;
             }
             let elsewhere = self.gateway.place(&self.job, &self.tried);
-            let Some(placement) = elsewhere.or_else(|| self.gateway.place(&self.job, &[])) else {
+            let Ok(placement) = elsewhere.or_else(|_| self.gateway.place(&self.job, &[])) else {
                 return false;
             };
             self.tried.push(placement.server.clone());
