load: the peers' figures are summed once a placement; a server's own requests are found by its list

The sum over peers is now made once a placement, from what they told only. Also: a resumed stream that a server refuses with proof no longer counts as that server's failure. A property asks that all servers at once are as each by itself.

--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -18,6 +18,7 @@
 use crate::load::Demand;
 use crate::load::Work;
 use crate::load::group_of;
+use crate::load::key_of;
 use crate::peer;
 use crate::placement::Candidate;
 use crate::placement::Declined;
@@ -155,7 +156,9 @@
             usable.retain(|s| health.is_usable(&s.id, now));
         }
         let ledger = self.ledger.borrow();
-        let describe = |s: &Server| Candidate::new(s.id.clone(), ledger.view(&s.id, now), s.slots);
+        let told = ledger.told(now);
+        let load = |s: &Server| ledger.joined(&s.id, told.get(&key_of(&s.id)), now);
+        let describe = |s: &Server| Candidate::new(s.id.clone(), load(s), s.slots);
         usable.into_iter().map(describe).collect()
     }
 
--- a/crates/gateway/src/load/ledger.rs
+++ b/crates/gateway/src/load/ledger.rs
@@ -35,8 +35,10 @@
     on_time: bool,
 }
 
-#[derive(Debug, Default, Clone, Copy)]
+#[derive(Debug, Default, Clone)]
 struct Own {
+    /// Requests that the server writes or will write.
+    keys: Vec<Key>,
     /// Reading that was sent to the server since this daemon started.
     sent_ms: f64,
     reading_ms: f64,
@@ -85,8 +87,11 @@
             let own = self.own.entry(work.server.clone()).or_default();
             own.sent_ms += work.read_ms;
             own.reading_ms += work.read_ms;
-            own.requests += u32::from(!work.helper);
             own.memory += work.memory.get();
+            if !work.helper {
+                own.requests += 1;
+                own.keys.push(key);
+            }
             self.enqueue(key_of(&work.server), work.read_ms, now);
         }
         self.entries.insert(key, Entry { works, reading: true, on_time: false });
@@ -136,9 +141,13 @@
             let Some(own) = self.own.get_mut(&work.server) else {
                 continue;
             };
-            own.requests -= u32::from(!work.helper);
             own.memory -= work.memory.get();
-            if !work.helper && !entry.reading {
+            if work.helper {
+                continue;
+            }
+            own.requests -= 1;
+            own.keys.retain(|k| *k != key);
+            if !entry.reading {
                 own.tight -= u32::from(work.is_tight());
                 own.writing -= 1;
             }
@@ -189,8 +198,10 @@
     /// Returns what this daemon has in flight at a server. A prompt counts as unread as a whole
     /// until its first event has come.
     pub fn own(&self, server: &runner::Id) -> Load {
-        let own = self.own.get(server).map(Own::load).unwrap_or_default();
-        Load { streams: self.streams(server), ..own }
+        let Some(own) = self.own.get(server) else {
+            return Load::default();
+        };
+        Load { streams: self.streams(own), ..own.load() }
     }
 
     /// Returns what this daemon tells its peers: all servers where it has something in flight.
@@ -199,28 +210,45 @@
         busy.map(|(id, own)| (key_of(id), Told { load: self.own(id), sent_ms: own.sent_ms }))
     }
 
-    /// Returns what all daemons have in flight at a server. What is unread there is estimated:
-    /// the server reads one prompt after the other, whichever daemon sent it.
+    /// Returns what the peers have in flight at each server.
+    pub fn told(&self, now: Moment) -> HashMap<u64, Load> {
+        let mut sums: HashMap<u64, Load> = HashMap::new();
+        for peer in self.peers.values().filter(|p| now.since(p.at) <= PEER_LOAD_AGE) {
+            for (server, load) in &peer.loads {
+                let sum = sums.entry(*server).or_default();
+                *sum = *sum + *load;
+            }
+        }
+        sums
+    }
+
+    /// Returns what all daemons have in flight at a server, of which the peers told `told`. What is
+    /// unread there is estimated: the server reads one prompt after the other, whichever daemon sent
+    /// it.
+    pub fn joined(&self, server: &runner::Id, told: Option<&Load>, now: Moment) -> Load {
+        let sent = self.own(server) + told.copied().unwrap_or_default();
+        let until = self.read_until.get(&key_of(server)).copied().unwrap_or_default();
+        let left_ms = until.since(now).as_secs_f64() * 1e3;
+        let least_ms = sent.unread_ms * UNREAD_FLOOR;
+        Load { unread_ms: left_ms.max(least_ms).min(sent.unread_ms), ..sent }
+    }
+
+    /// Returns what all daemons have in flight at one server.
     pub fn view(&self, server: &runner::Id, now: Moment) -> Load {
         let key = key_of(server);
         let fresh = self.peers.values().filter(|p| now.since(p.at) <= PEER_LOAD_AGE);
         let told = fresh.filter_map(|p| p.loads.get(&key).copied());
-        let sent = told.fold(self.own(server), |sum, load| sum + load);
-        let until = self.read_until.get(&key).copied().unwrap_or_default();
-        let left_ms = until.since(now).as_secs_f64() * 1e3;
-        let least_ms = sent.unread_ms * UNREAD_FLOOR;
-        Load { unread_ms: left_ms.max(least_ms).min(sent.unread_ms), ..sent }
+        let sum = told.fold(Load::default(), |sum, load| sum + load);
+        self.joined(server, Some(&sum), now)
     }
 
     /// Returns the streams that this daemon has at a server and that are on time.
-    fn streams(&self, server: &runner::Id) -> [Streams; GROUPS] {
+    fn streams(&self, own: &Own) -> [Streams; GROUPS] {
         let mut streams = [Streams::default(); GROUPS];
-        let on_time = self.entries.values().filter(|entry| entry.on_time);
-        for work in on_time.filter_map(|entry| entry.works.first()) {
-            if work.server == *server {
-                let group = group_of(work.pause);
-                streams[group] = streams[group] + work.stream();
-            }
+        let entries = own.keys.iter().filter_map(|key| self.entries.get(key));
+        for work in entries.filter(|e| e.on_time).filter_map(|e| e.works.first()) {
+            let group = group_of(work.pause);
+            streams[group] = streams[group] + work.stream();
         }
         streams
     }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -252,7 +252,10 @@
                         self.last = self.gateway.now();
                         return true;
                     }
-                    flight.failed(head.status);
+                    match verdict {
+                        Verdict::NotRun => flight.not_run(head.status),
+                        _ => flight.failed(head.status),
+                    }
                     if let Some(address) = answer.at_fault {
                         self.gateway.note_at_fault(address);
                     }
--- a/crates/gateway/tests/testsuite/load.rs
+++ b/crates/gateway/tests/testsuite/load.rs
@@ -52,6 +52,29 @@
 proptest! {
     #![proptest_config(cases(SEED))]
 
+    /// What is known of all servers at once is what is known of each.
+    #[test]
+    fn all_servers_at_once_are_as_each_by_itself(
+        own in proptest::collection::vec(0..4_usize, 0..6),
+        peers in proptest::collection::vec((0..4_usize, 0..900_u64, 0..700_u64), 0..8),
+    ) {
+        let mut ledger = Ledger::default();
+        for server in own {
+            ledger.start(vec![work(server, false)], Moment::ZERO);
+        }
+        for (n, (server, unread_ms, at_ms)) in peers.into_iter().enumerate() {
+            let told = HashMap::from([(key_of(&id(server)), unread(unread_ms as f64, unread_ms as f64))]);
+            let peer = format!("peer-{n}").parse().unwrap();
+            ledger.tell(peer, Demand::default(), &told, Moment::from_millis(at_ms));
+        }
+        let now = Moment::from_millis(700);
+        let told = ledger.told(now);
+        for server in 0..4 {
+            let joined = ledger.joined(&id(server), told.get(&key_of(&id(server))), now);
+            prop_assert_eq!(joined, ledger.view(&id(server), now));
+        }
+    }
+
     /// Whatever order requests begin, are read and end in, nothing is left when all have ended.
     #[test]
     fn nothing_is_left_when_all_has_ended(steps in proptest::collection::vec((0..4_usize, 0..3_u8, 0..300_u64), 1..80)) {
