--- a/crates/gateway/src/gateway/waits.rs
+++ b/crates/gateway/src/gateway/waits.rs
@@ -15,6 +15,9 @@
 const PLAIN_WAIT_PART: f64 = 0.35;
 /// Least time without any event of a server that has work before it counts as silent.
 const SERVER_SILENCE: Duration = Duration::from_millis(1_500);
+/// Least time that a stream gets no event, while its server writes others, before its connection
+/// counts as silent.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_000);
 /// Least time that a stream waits for its first event before it is moved.
 const FIRST_EVENT_WAIT: Duration = Duration::from_millis(1_200);
 /// How many times its expected reading a stream waits for its first event before it is moved.
@@ -44,13 +47,19 @@
     }
 
     /// Returns until when the next event of a stream is waited for, whose last came at `last` and
-    /// that has been sent `sends` times. A server that reads a long prompt writes nothing
+    /// that has been sent `sends` times. A server writes for all its streams in turn: one that is
+    /// left out has lost its connection. A server that reads a long prompt writes nothing
     /// meanwhile, and a stream that may not go on elsewhere is waited for to its end.
     pub fn event_wait(&self, job: &Job, flight: &Flight, last: Moment, sends: u32) -> Moment {
         if job.route.repeat != Repeat::Rest || sends >= job.route.max_attempts {
             return job.end;
         }
         let server = &flight.placement().server;
+        let heard = self.heard.borrow().get(server).copied().unwrap_or_default();
+        let left_out = STREAM_SILENCE.max(job.route.gap * GAP_FACTOR);
+        if heard.since(last) >= left_out {
+            return last + left_out;
+        }
         let load = self.ledger.borrow().view(server, self.now());
         let reading = Duration::from_secs_f64(load.unread_ms / 1e3);
         last + SERVER_SILENCE.max(job.route.gap * GAP_FACTOR) + reading
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -11,6 +11,7 @@
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
 use log::info;
+use tokio::time::timeout_at;
 
 use crate::Gateway;
 use crate::config::Repeat;
@@ -30,6 +31,9 @@
 use crate::relay::Flight;
 use crate::ticket::Tickets;
 
+/// Time between two looks at how long a stream is waited for.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// What came of waiting for more of a stream.
 enum Next {
     /// Bytes.
@@ -123,8 +127,7 @@
                 }
                 return Some(self.break_off());
             };
-            let wait = self.gateway.event_wait(&self.job, &part.flight, self.last, self.sends);
-            match next(&self.gateway, &self.job, part, wait).await {
+            match next(&self.gateway, &self.job, part, self.last, self.sends).await {
                 Next::Bytes(bytes) => match self.take(&bytes) {
                     Some(events) => return Some(Ok(events)),
                     None => continue,
@@ -282,21 +285,31 @@
     }
 }
 
-/// Waits for more of a stream.
-async fn next(gateway: &Gateway, job: &Job, part: &mut Part, wait: Moment) -> Next {
+/// Waits for more of a stream whose last event came at `last` and that has been sent `sends`
+/// times. How long is looked at anew from time to time: its server may begin to read, or write for
+/// others only.
+async fn next(gateway: &Gateway, job: &Job, part: &mut Part, last: Moment, sends: u32) -> Next {
     loop {
-        let server = &part.flight.placement().server;
-        let Some(frame) = patient(gateway, job, server, wait, part.body.frame()).await else {
-            return if gateway.now() >= job.end { Next::Late } else { Next::Silent };
-        };
-        match frame {
-            Some(Ok(frame)) => match frame.into_data() {
-                Ok(bytes) => return Next::Bytes(bytes),
+        let wait = gateway.event_wait(job, &part.flight, last, sends);
+        let now = gateway.now();
+        if now >= job.end {
+            return Next::Late;
+        }
+        if now >= wait {
+            return Next::Silent;
+        }
+        let look = wait.min(now + LOOK_INTERVAL).min(job.end);
+        match timeout_at(gateway.instant(look), part.body.frame()).await {
+            // Time to look again.
+            Err(_) => {}
+            Ok(Some(Ok(frame))) => {
                 // Trailers carry nothing for the caller.
-                Err(_) => continue,
-            },
-            Some(Err(error)) => return Next::Broken(error),
-            None => return Next::End,
+                if let Ok(bytes) = frame.into_data() {
+                    return Next::Bytes(bytes);
+                }
+            }
+            Ok(Some(Err(error))) => return Next::Broken(error),
+            Ok(None) => return Next::End,
         }
     }
 }
