--- a/crates/gateway/src/http/place.rs
+++ b/crates/gateway/src/http/place.rs
@@ -16,7 +16,7 @@
 use crate::placement::Placement;
 
 /// Part of its aim that a request waits for room in the servers' memory.
-const ROOM_WAIT_PART: f64 = 0.3;
+const ROOM_WAIT_PART: f64 = 0.35;
 /// Time between two looks for room.
 const ROOM_PAUSE: Duration = Duration::from_millis(100);
 /// When to come again where no server takes the request now.
--- a/crates/gateway/src/placement/joint.rs
+++ b/crates/gateway/src/placement/joint.rs
@@ -20,7 +20,7 @@
 
 /// Part of what a prompt gains that its placement costs others at most. What is foreseen is less
 /// than all that it harms: prompts come later that find its servers reading.
-const MOST_COST: f64 = 0.45;
+const MOST_COST: f64 = 0.55;
 /// What a second of reading long prompts is worth.
 const WORTH_PER_READING_S: f64 = 6.5;
 /// Part of their worth that prompts lose whose servers are blocked when they come.
