observe: a daemon says when its timers are held up

Nothing told a slow or frozen VM from a slow link. The round of tidying now measures how late its timer fired: a histogram, and a line from 100 ms on.

--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use kumquattiller_base::runner;
@@ -10,6 +11,7 @@
 use kumquattiller_base::time::Moment;
 use kumquattiller_link::Clock;
 use log::info;
+use log::warn;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -33,6 +35,11 @@
 use crate::stop::Stop;
 use crate::suspect::Suspects;
 
+/// Time between two rounds of forgetting what is too old.
+const TIDY_INTERVAL: Duration = Duration::from_millis(250);
+/// Delay of a timer from which callers may notice it.
+const NOTABLE_DELAY: Duration = Duration::from_millis(100);
+
 /// The state of a daemon, shared by all its tasks.
 pub struct Gateway {
     pub(super) clock: Clock,
@@ -213,8 +220,23 @@
         }
     }
 
-    /// Forgets what is too old, once.
-    pub fn tidy(&self) {
+    /// Forgets what is too old, at an interval, until the process ends. What else runs on this
+    /// thread or this VM shows in the interval: where it is much longer, that is logged.
+    pub async fn keep_tidy(&self) {
+        loop {
+            let before = self.now();
+            tokio::time::sleep(TIDY_INTERVAL).await;
+            let held_up = self.now().since(before).saturating_sub(TIDY_INTERVAL);
+            self.metrics.held_up(held_up);
+            if held_up >= NOTABLE_DELAY {
+                let ms = held_up.as_millis() as u64;
+                warn!(target: "process", ms, in_flight = self.ledger.borrow().len(); "held up");
+            }
+            self.tidy();
+        }
+    }
+
+    fn tidy(&self) {
         let now = self.now();
         for id in self.fleet.borrow_mut().expire(now) {
             info!(target: "fleet", server:% = id; "lapsed registration did not come back");
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -36,6 +36,7 @@
     connections: Counter,
     answers: Family<Label, Histogram, fn() -> Histogram>,
     first_event: Histogram,
+    held_up: Histogram,
     version: Gauge<u64, AtomicU64>,
     servers: Gauge,
     peers: Gauge,
@@ -60,6 +61,7 @@
             connections: Counter::default(),
             answers: Family::new_with_constructor(latency),
             first_event: latency(),
+            held_up: latency(),
             version: Gauge::default(),
             servers: Gauge::default(),
             peers: Gauge::default(),
@@ -77,6 +79,12 @@
         registry.register("requests", "Requests that were admitted", self.requests.clone());
         registry.register("refusals", "Requests refused, by kind", self.refusals.clone());
         registry.register("sends", "Sends to servers, by outcome", self.sends.clone());
+        registry.register_with_unit(
+            "timer_delay",
+            "How much later than asked for a timer of the daemon fired",
+            Unit::Seconds,
+            self.held_up.clone(),
+        );
         registry.register("resends", "Sends beyond the first", self.resends.clone());
         registry.register("streams_broken", "Streams broken off", self.broken_off.clone());
         registry.register("callers_left", "Streams whose caller left", self.left.clone());
@@ -100,6 +108,11 @@
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
     }
 
+    /// Notes how much later than asked for a timer fired.
+    pub fn held_up(&self, delay: Duration) {
+        self.held_up.observe(delay.as_secs_f64());
+    }
+
     /// Counts an admitted request.
     pub fn admitted(&self) {
         self.requests.inc();
