stop: a daemon ends when the last answer is out; ends of servers are looked for a moment later

Looking for what such a stop can lose: a daemon ended as soon as its servers had answered, 50 ms for the last bytes, and a caller that reads slowly, or a daemon that was frozen in those 50 ms, lost the rest of its answer. A stop now waits for the connections that have carried a request, within the grace.

--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -34,6 +34,8 @@
 use crate::suspect;
 use crate::ticket::Tickets;
 
+/// Time in which a process that ends closes all its sockets.
+const END_TIME: Duration = Duration::from_millis(50);
 /// Longest time to find out whether a server still takes connections.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -85,6 +87,7 @@
         };
         let (gateway, job, server) = (self.clone(), job.clone(), server.clone());
         tokio::task::spawn_local(async move {
+            tokio::time::sleep(END_TIME).await;
             let refused = match dial(address, PROBE_TIMEOUT).await {
                 Ok(_) => false,
                 Err(error) => error.kind() == ErrorKind::ConnectionRefused,
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -59,6 +59,8 @@
     pub(super) budgets: RefCell<HashMap<service::Name, Budget>>,
     pub(super) peers: RefCell<peer::Table>,
     pub(super) fetching: Cell<bool>,
+    /// Open connections of callers that have carried a request.
+    pub(crate) answering: Cell<usize>,
     announcement: Notify,
     pub(super) pool: Pool,
     pub(super) metrics: Metrics,
@@ -92,6 +94,7 @@
             budgets: RefCell::default(),
             peers: RefCell::default(),
             fetching: Cell::new(false),
+            answering: Cell::new(0),
             announcement: Notify::new(),
             pool: Pool::default(),
             metrics: Metrics::default(),
--- a/crates/gateway/src/gateway/stopping.rs
+++ b/crates/gateway/src/gateway/stopping.rs
@@ -28,7 +28,8 @@
         self.stop.get().back_after(now)
     }
 
-    /// Begins the graceful stop and returns when what ran has ended or the grace is over.
+    /// Begins the graceful stop and returns when what ran has ended, and each answer is out, or
+    /// the grace is over.
     pub async fn finish(&self) {
         let mut stop = self.stop.get();
         stop.ask(self.now());
@@ -36,13 +37,14 @@
         loop {
             let phase = self.phase();
             self.phase.send_if_modified(|old| std::mem::replace(old, phase) != phase);
-            let idle = self.ledger.borrow().is_empty();
+            let idle = self.ledger.borrow().is_empty() && self.answering.get() == 0;
             if phase == Phase::Over || (phase == Phase::Finishing && idle) {
                 break;
             }
             tokio::time::sleep(crate::stop::INTERVAL).await;
         }
-        info!(target: "process", unfinished = self.ledger.borrow().len(); "stopped");
+        let (unfinished, open) = (self.ledger.borrow().len(), self.answering.get());
+        info!(target: "process", unfinished, open; "stopped");
         tokio::time::sleep(crate::stop::INTERVAL).await;
     }
 
--- a/crates/gateway/src/http/listener.rs
+++ b/crates/gateway/src/http/listener.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -119,7 +120,11 @@
     let limits = gateway.config().map(|c| *c.limits()).unwrap_or_default();
     let service = {
         let gateway = gateway.clone();
-        service_fn(move |request| answer(gateway.clone(), request))
+        let asked = Cell::new(None);
+        service_fn(move |request| {
+            asked.set(Some(Answering::start(&gateway)));
+            answer(gateway.clone(), request)
+        })
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -144,6 +149,22 @@
     }
 }
 
+/// A connection that has carried a request and is open: its last answer may not be out yet.
+struct Answering(Rc<Gateway>);
+
+impl Answering {
+    fn start(gateway: &Rc<Gateway>) -> Self {
+        gateway.answering.set(gateway.answering.get() + 1);
+        Self(gateway.clone())
+    }
+}
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.0.answering.set(self.0.answering.get() - 1);
+    }
+}
+
 async fn answer(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
--- a/crates/gateway/src/http/place.rs
+++ b/crates/gateway/src/http/place.rs
@@ -32,8 +32,8 @@
     let end = job.arrived + job.route.aim.mul_f64(ROOM_WAIT_PART);
     loop {
         let placement = gateway.place(job, tried);
-        let waits = gateway.may_find_room(job) && gateway.now() < end;
-        if placement.is_ok() || !waits {
+        let full = matches!(placement, Err(Declined::NoRoom | Declined::TooDear { .. }));
+        if !full || !gateway.may_find_room(job) || gateway.now() >= end {
             return placement;
         }
         tokio::time::sleep(ROOM_PAUSE).await;
--- a/crates/gateway/src/load/ledger.rs
+++ b/crates/gateway/src/load/ledger.rs
@@ -61,9 +61,8 @@
 struct Peer {
     at: Moment,
     demand: Demand,
-    loads: HashMap<u64, Load>,
-    /// The latest that it told of each server, also where it has nothing in flight now.
-    sent_ms: HashMap<u64, f64>,
+    /// The servers where it has something in flight.
+    told: HashMap<u64, Told>,
 }
 
 /// The requests in flight of this daemon, and what its peers say of theirs.
@@ -159,18 +158,14 @@
         &mut self,
         peer: daemon::Id,
         demand: Demand,
-        told: &HashMap<u64, Told>,
+        told: HashMap<u64, Told>,
         now: Moment,
     ) {
-        let mut known = self.peers.remove(&peer).unwrap_or_default();
-        for (server, told) in told {
-            let read_ms = known.added(*server, told);
-            self.enqueue(*server, read_ms, now);
+        let before = self.peers.remove(&peer).unwrap_or_default();
+        for (server, told) in &told {
+            self.enqueue(*server, before.added(*server, told), now);
         }
-        known.at = now;
-        known.demand = demand;
-        known.loads = told.iter().map(|(server, told)| (*server, told.load)).collect();
-        self.peers.insert(peer, known);
+        self.peers.insert(peer, Peer { at: now, demand, told });
     }
 
     /// Counts a request that came to this daemon.
@@ -214,9 +209,9 @@
     pub fn told(&self, now: Moment) -> HashMap<u64, Load> {
         let mut sums: HashMap<u64, Load> = HashMap::new();
         for peer in self.peers.values().filter(|p| now.since(p.at) <= PEER_LOAD_AGE) {
-            for (server, load) in &peer.loads {
+            for (server, told) in &peer.told {
                 let sum = sums.entry(*server).or_default();
-                *sum = *sum + *load;
+                *sum = *sum + told.load;
             }
         }
         sums
@@ -237,8 +232,8 @@
     pub fn view(&self, server: &runner::Id, now: Moment) -> Load {
         let key = key_of(server);
         let fresh = self.peers.values().filter(|p| now.since(p.at) <= PEER_LOAD_AGE);
-        let told = fresh.filter_map(|p| p.loads.get(&key).copied());
-        let sum = told.fold(Load::default(), |sum, load| sum + load);
+        let told = fresh.filter_map(|p| p.told.get(&key));
+        let sum = told.fold(Load::default(), |sum, told| sum + told.load);
         self.joined(server, Some(&sum), now)
     }
 
@@ -292,13 +287,12 @@
 }
 
 impl Peer {
-    /// Returns how much reading the peer sent to a server since it last told of it. One that was
-    /// not heard before or started anew is taken at what is unread.
-    fn added(&mut self, server: u64, told: &Told) -> f64 {
-        let before = self.sent_ms.insert(server, told.sent_ms);
-        match before {
-            Some(before) if before <= told.sent_ms => told.sent_ms - before,
-            _ => told.load.unread_ms,
+    /// Returns how much reading the peer sent to a server since it last told of it. Where it had
+    /// nothing in flight, was not heard or started anew, that is what is unread now.
+    fn added(&self, server: u64, now: &Told) -> f64 {
+        match self.told.get(&server) {
+            Some(before) if before.sent_ms <= now.sent_ms => now.sent_ms - before.sent_ms,
+            _ => now.load.unread_ms,
         }
     }
 }
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -127,7 +127,7 @@
     let told = report.loads.iter().map(|load| (load.server, load.into())).collect();
     let demand =
         Demand { long_ms: f64::from(report.demand_long_ms), short: f64::from(report.demand_short) };
-    gateway.ledger().borrow_mut().tell(id, demand, &told, now);
+    gateway.ledger().borrow_mut().tell(id, demand, told, now);
     for count in &report.suspects {
         let value = (u128::from(count.high) << 64) | u128::from(count.low);
         gateway.suspects().borrow_mut().tell(Fingerprint::new(value), count.deaths, now);
