entry: a daemon is ready once its first links were tried

A daemon counted as ready from the configuration on, so the balancer sent it callers that it could only refuse. Ruled out: the load itself; it only made the gap of 3 ms wide enough to be hit.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -297,6 +297,7 @@
         !self.inner.leaving.load(Ordering::SeqCst)
             && self.config_version() != configuration::Version::NONE
             && self.is_fresh()
+            && self.runners().is_settled()
     }
 
     /// Tells whether new requests are refused.
--- a/crates/entry/src/runners/dialer.rs
+++ b/crates/entry/src/runners/dialer.rs
@@ -56,6 +56,7 @@
             }
             Err(error) => log::debug!(runner:% = remote.runner().id; "no link: {error}"),
         }
+        remote.set_dialed();
         sleep(pause).await;
         pause = LONGEST_PAUSE.min(pause * 2);
     }
@@ -66,6 +67,7 @@
     let load = link.load.map(Load::from).unwrap_or_default();
     remote.connected(link.sender.clone(), link.peer.incarnation, load, daemon.now());
     daemon.runners().routes().refresh(remote);
+    remote.set_dialed();
     let spread = daemon.spread().connected(remote.runner().id.as_str(), link.sender.clone());
     log::info!(runner:% = remote.runner().id; "link is open");
     tokio::select! {
--- a/crates/entry/src/runners/pool.rs
+++ b/crates/entry/src/runners/pool.rs
@@ -3,6 +3,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use kumquattiller_base::place;
 use kumquattiller_base::runner;
@@ -29,6 +31,10 @@
 pub struct Pool {
     remotes: Mutex<HashMap<runner::Id, Arc<Remote>>>,
     routes: Routes,
+    /// Whether a register was followed.
+    followed: AtomicBool,
+    /// Whether each runner of the first register was dialed.
+    settled: AtomicBool,
 }
 
 impl Pool {
@@ -54,6 +60,20 @@
             remotes.insert(runner.id.clone(), Arc::clone(&remote));
             tokio::spawn(dialer::run(daemon.clone(), remote));
         }
+        drop(remotes);
+        self.followed.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether a link to each runner was tried once since the start. Before that a request
+    /// would find no runner though there are some.
+    pub fn is_settled(&self) -> bool {
+        if self.settled.load(Ordering::SeqCst) {
+            return true;
+        }
+        let followed = self.followed.load(Ordering::SeqCst);
+        let settled = followed && self.lock().values().all(|remote| remote.is_dialed());
+        self.settled.store(settled, Ordering::SeqCst);
+        settled
     }
 
     /// Chooses a runner for a request among those not tried yet, and tells why.
--- a/crates/entry/src/runners/remote.rs
+++ b/crates/entry/src/runners/remote.rs
@@ -2,6 +2,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use kumquattiller_base::time::Moment;
 use kumquattiller_inventory::register;
@@ -18,6 +20,7 @@
 pub struct Remote {
     runner: register::Runner,
     removed: CancellationToken,
+    dialed: AtomicBool,
     state: Mutex<State>,
 }
 
@@ -33,7 +36,12 @@
 impl Remote {
     /// Knows a runner that has no link yet.
     pub fn new(runner: register::Runner) -> Self {
-        Self { runner, removed: CancellationToken::new(), state: Mutex::default() }
+        Self {
+            runner,
+            removed: CancellationToken::new(),
+            dialed: AtomicBool::new(false),
+            state: Mutex::default(),
+        }
     }
 
     /// Returns the runner's line in the register.
@@ -46,6 +54,16 @@
         &self.removed
     }
 
+    /// Notes that a link was tried, whether it opened or not.
+    pub fn set_dialed(&self) {
+        self.dialed.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether a link was tried.
+    pub fn is_dialed(&self) -> bool {
+        self.dialed.load(Ordering::SeqCst)
+    }
+
     /// Returns the link's sender when the link is open.
     pub fn sender(&self) -> Option<Sender> {
         self.lock().sender.clone()
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -10,6 +10,7 @@
 use kumquattiller_support::caller::Caller;
 use kumquattiller_support::fleet::Fleet;
 use kumquattiller_support::fleet::MODEL;
+use kumquattiller_support::relay::Mode;
 use kumquattiller_support::wait;
 use serde_json::Value;
 use serde_json::json;
@@ -198,6 +199,25 @@
     assert_eq!(answer.status, 200, "{answer:?}");
 }
 
+/// Failed once beside load: a daemon was ready a moment before its first links were open, and refused
+/// what the balancer sent it then.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_is_not_ready_before_its_first_links() {
+    let mut fleet = fleet().entries(1).start().await;
+    let slow = Mode { delay: Duration::from_millis(400), ..Mode::default() };
+    fleet.runners.iter().for_each(|runner| runner.relay.set(slow));
+    fleet.entries[0].program.kill().await;
+    let binaries = fleet.binaries.clone();
+    fleet.entries[0].restart(&binaries);
+    let caller = fleet.caller(0);
+    wait::until("readiness", Duration::from_secs(10), async || {
+        caller.probe("/readyz").await == Some(200)
+    })
+    .await;
+    let answer = caller.complete(&Caller::completion(MODEL, "gas", 2, false)).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_frozen_over_versions_never_serves_an_old_one() {
     let fleet = fleet().entries(3).start().await;
