support: a relay without a delay passes bytes on at once

Its log: the runner process ended its stream and itself at 41.405 s, the entry daemon saw the link close at 41.418 without the last frames. The relay of the tests had since today a timer of zero length before each write, a millisecond and more; a process that ends with unread heartbeats resets its connection, and what the relay had not read yet is gone. That a runner process resets its links when it ends is a fault of its own, open: without a relay it takes a peer that lags by the length of the last frames.

--- a/crates/support/src/relay.rs
+++ b/crates/support/src/relay.rs
@@ -126,7 +126,9 @@
         let Ok(now) = mode.wait_for(|mode| !silent(mode)).await.map(|mode| *mode) else {
             return;
         };
-        tokio::time::sleep(now.delay).await;
+        if !now.delay.is_zero() {
+            tokio::time::sleep(now.delay).await;
+        }
         if length == 0 || to.write_all(&chunk[..length]).await.is_err() {
             break;
         }
