fleet: starts of different servers never share a short name

Id and start are hashed together now. Ids of the users' platform are longer; there two of them would have to differ by just the difference of their starts. The test failed first.

--- a/crates/gateway/src/fleet/server.rs
+++ b/crates/gateway/src/fleet/server.rs
@@ -3,7 +3,7 @@
 use kumquattiller_base::runner;
 use kumquattiller_base::service;
 use kumquattiller_base::time::Moment;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A backend server as its registration describes it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,6 +37,7 @@
 impl Server {
     /// Returns a short name of this start of the server, the same at all daemons.
     pub fn start_key(&self) -> u64 {
-        xxh3_64_with_seed(self.id.as_str().as_bytes(), self.born_ms.unwrap_or_default())
+        let born = self.born_ms.unwrap_or_default().to_le_bytes();
+        xxh3_64(&[self.id.as_str().as_bytes(), &born].concat())
     }
 }
--- a/crates/gateway/tests/testsuite/fleet.rs
+++ b/crates/gateway/tests/testsuite/fleet.rs
@@ -116,3 +116,16 @@
     let change = table.put(Server { born_ms: Some(2), ..server("a") });
     assert_eq!((change, usable(&table).len()), (Change::Joined, 2));
 }
+
+/// Found by the soak with a fresh seed: a start of one server had the short name of one of another,
+/// and where the one left all daemons took the other along.
+#[test]
+fn each_start_of_each_server_has_a_short_name_of_its_own() {
+    let mut keys = std::collections::BTreeSet::new();
+    for number in 0..10 {
+        for born in 0..100 {
+            let server = Server { born_ms: Some(born), ..server(&format!("i-{number}")) };
+            assert!(keys.insert(server.start_key()), "{} born {born}", server.id);
+        }
+    }
+}
