--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -96,6 +96,20 @@
     fleet.caller(index).probe("/readyz").await == Some(200)
 }
 
+/// Waits until a daemon says that it is ready.
+async fn until_ready(caller: &Caller) {
+    wait::until("readiness", Duration::from_secs(10), async || {
+        caller.probe("/readyz").await == Some(200)
+    })
+    .await;
+}
+
+/// Asks that a daemon answers a request.
+async fn assert_serves(caller: &Caller) {
+    let answer = caller.complete(&Caller::completion(MODEL, "gas", 2, false)).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_accepted_version_is_in_force_everywhere() {
     let fleet = fleet().entries(4).start().await;
@@ -190,13 +204,9 @@
     fleet.entries[0].restart(&binaries);
     // The peers dial the daemon again at its old address; nothing else tells it of them.
     let caller = fleet.caller(0);
-    wait::until("readiness", Duration::from_secs(10), async || {
-        caller.probe("/readyz").await == Some(200)
-    })
-    .await;
+    until_ready(&caller).await;
     assert_eq!(version_at(fleet.entries[0].link).await, Some(version), "outage of {outage}");
-    let answer = caller.complete(&Caller::completion(MODEL, "gas", 2, false)).await;
-    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_serves(&caller).await;
 }
 
 /// Failed once beside load: a daemon was ready a moment before its first links were open, and refused
@@ -210,12 +220,8 @@
     let binaries = fleet.binaries.clone();
     fleet.entries[0].restart(&binaries);
     let caller = fleet.caller(0);
-    wait::until("readiness", Duration::from_secs(10), async || {
-        caller.probe("/readyz").await == Some(200)
-    })
-    .await;
-    let answer = caller.complete(&Caller::completion(MODEL, "gas", 2, false)).await;
-    assert_eq!(answer.status, 200, "{answer:?}");
+    until_ready(&caller).await;
+    assert_serves(&caller).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
