--- a/crates/support/src/relay.rs
+++ b/crates/support/src/relay.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -29,6 +30,15 @@
     pub delay: Duration,
 }
 
+/// Direction in which a connection forwards bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// From the connecting side to the target.
+    Out,
+    /// From the target to the connecting side.
+    Back,
+}
+
 /// Forwards TCP connections from one address to another.
 #[derive(Debug, Clone)]
 pub struct Relay {
@@ -42,6 +52,12 @@
     closed: AtomicBool,
     cut: Notify,
     mode: watch::Sender<Mode>,
+    /// Number of connections accepted so far.
+    accepted: AtomicU64,
+    /// Number of the first connections that forward nothing more to the target.
+    muted_out: watch::Sender<u64>,
+    /// Number of the first connections that forward nothing more from the target.
+    muted_back: watch::Sender<u64>,
 }
 
 impl Relay {
@@ -53,9 +69,15 @@
     pub async fn start(address: SocketAddr, target: SocketAddr) -> Self {
         let listener = TcpListener::bind(address).await.expect("relay can listen");
         let address = listener.local_addr().expect("a bound listener has an address");
-        let closed = AtomicBool::new(false);
-        let shared =
-            Arc::new(Shared { target, closed, cut: Notify::new(), mode: watch::Sender::default() });
+        let shared = Arc::new(Shared {
+            target,
+            closed: AtomicBool::new(false),
+            cut: Notify::new(),
+            mode: watch::Sender::default(),
+            accepted: AtomicU64::new(0),
+            muted_out: watch::Sender::default(),
+            muted_back: watch::Sender::default(),
+        });
         tokio::spawn(accept_connections(listener, Arc::clone(&shared)));
         Self { address, shared }
     }
@@ -81,21 +103,44 @@
         self.shared.mode.send_replace(mode);
     }
 
+    /// Forwards no more bytes in a direction on the connections that are open now. They stay open
+    /// until they are cut; new ones are forwarded as usual.
+    pub fn mute_open(&self, direction: Direction) {
+        let accepted = self.shared.accepted.load(Ordering::SeqCst);
+        self.shared.muted(direction).send_replace(accepted);
+    }
+
     /// Forwards new connections again after [`Self::close`].
     pub fn open(&self) {
         self.shared.closed.store(false, Ordering::SeqCst);
     }
 }
 
+impl Shared {
+    const fn muted(&self, direction: Direction) -> &watch::Sender<u64> {
+        match direction {
+            Direction::Out => &self.muted_out,
+            Direction::Back => &self.muted_back,
+        }
+    }
+
+    /// Waits until the connection with a number forwards nothing more in a direction.
+    async fn wait_until_muted(&self, number: u64, direction: Direction) {
+        let mut muted = self.muted(direction).subscribe();
+        let _ = muted.wait_for(|count| number < *count).await;
+    }
+}
+
 async fn accept_connections(listener: TcpListener, shared: Arc<Shared>) {
     while let Ok((stream, _)) = listener.accept().await {
         if !shared.closed.load(Ordering::SeqCst) {
-            tokio::spawn(forward_connection(stream, Arc::clone(&shared)));
+            let number = shared.accepted.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(forward_connection(stream, number, Arc::clone(&shared)));
         }
     }
 }
 
-async fn forward_connection(client: TcpStream, shared: Arc<Shared>) {
+async fn forward_connection(client: TcpStream, number: u64, shared: Arc<Shared>) {
     let cut = shared.cut.notified();
     tokio::pin!(cut);
     cut.as_mut().enable();
@@ -106,10 +151,20 @@
     let _ = target.set_nodelay(true);
     let (client_read, client_write) = client.into_split();
     let (target_read, target_write) = target.into_split();
-    let outbound =
-        forward_bytes(client_read, target_write, shared.mode.subscribe(), |mode| mode.silent_out);
-    let inbound =
-        forward_bytes(target_read, client_write, shared.mode.subscribe(), |mode| mode.silent_back);
+    let outbound = forward_bytes(
+        client_read,
+        target_write,
+        shared.mode.subscribe(),
+        |mode| mode.silent_out,
+        shared.wait_until_muted(number, Direction::Out),
+    );
+    let inbound = forward_bytes(
+        target_read,
+        client_write,
+        shared.mode.subscribe(),
+        |mode| mode.silent_back,
+        shared.wait_until_muted(number, Direction::Back),
+    );
     tokio::select! {
         _ = async { tokio::join!(outbound, inbound) } => {}
         () = cut => {}
@@ -117,15 +172,25 @@
 }
 
 /// Forwards bytes in one direction until the connection ends; holds them back while the direction
-/// is silent.
+/// is silent, and for good once `muted` completes.
 async fn forward_bytes(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut mode: watch::Receiver<Mode>,
     is_silent: impl Fn(&Mode) -> bool,
+    muted: impl Future<Output = ()>,
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
-    while let Ok(length) = from.read(&mut chunk).await {
+    let mut muted = std::pin::pin!(muted);
+    loop {
+        let read = tokio::select! {
+            biased;
+            () = muted.as_mut() => std::future::pending().await,
+            read = from.read(&mut chunk) => read,
+        };
+        let Ok(length) = read else {
+            break;
+        };
         let Ok(current) = mode.wait_for(|mode| !is_silent(mode)).await.map(|mode| *mode) else {
             return;
         };
