gateway: the age of each copy of the store in metrics and log lines

Adds freshness::Table, the metric kumquattiller_gateway_state_age_seconds{kind}, config_age_ms in the line of a refusal at admission and fleet_age_ms in the line of a placement. No decision changes.

--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use kumquattiller_link::Clock;
 use log::info;
 use log::warn;
+use strum::IntoEnumIterator;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -21,6 +22,7 @@
 use crate::config::Version;
 use crate::dialect::Dialect;
 use crate::fleet;
+use crate::freshness;
 use crate::health::Health;
 use crate::health::Outcome;
 use crate::http::Pool;
@@ -50,6 +52,7 @@
     pub(super) document: RefCell<Bytes>,
     pub(super) fleet: RefCell<fleet::Table>,
     pub(super) fleet_loaded: Cell<bool>,
+    pub(super) freshness: RefCell<freshness::Table>,
     /// Wakes waiting requests when the configuration or the servers have been loaded.
     pub(super) data_loaded: Notify,
     pub(super) ledger: RefCell<Ledger>,
@@ -87,6 +90,7 @@
             document: RefCell::default(),
             fleet: RefCell::default(),
             fleet_loaded: Cell::new(false),
+            freshness: RefCell::default(),
             data_loaded: Notify::new(),
             ledger: RefCell::default(),
             health: RefCell::default(),
@@ -128,6 +132,18 @@
         &self.fleet
     }
 
+    /// Returns how old the copies of the store are.
+    pub const fn freshness(&self) -> &RefCell<freshness::Table> {
+        &self.freshness
+    }
+
+    /// Returns the age of the copy of a kind in milliseconds, for the log; `None` if it was never
+    /// confirmed.
+    pub fn age_ms(&self, kind: freshness::Kind) -> Option<u64> {
+        let age = self.freshness.borrow().age(kind, self.now());
+        age.map(|age| age.as_millis() as u64)
+    }
+
     /// Returns the requests in flight.
     pub const fn ledger(&self) -> &RefCell<Ledger> {
         &self.ledger
@@ -261,11 +277,13 @@
 
     /// Returns the metrics in the text format.
     pub fn encode_metrics(&self) -> String {
+        let age = |kind| self.freshness.borrow().age(kind, self.now());
         self.metrics.encode(State {
             version: self.version().get(),
             servers: self.fleet.borrow().len(),
             peers: self.peers_alive(),
             in_flight: self.ledger.borrow().len(),
+            ages: freshness::Kind::iter().filter_map(|kind| Some((kind, age(kind)?))).collect(),
         })
     }
 }
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -14,6 +14,7 @@
 
 use crate::Gateway;
 use crate::config::Retry;
+use crate::freshness;
 use crate::health::Outcome;
 use crate::http::Body;
 use crate::http::Exchange;
@@ -63,7 +64,7 @@
         Err(refusal) => {
             info!(
                 target: "request", id = metadata.id, kind:% = refusal.kind,
-                version:% = gateway.version(),
+                version:% = gateway.version(), config_age_ms = gateway.age_ms(freshness::Kind::Config),
                 answer = metadata.prompt.map_or(0, |p| p.max_output.get()),
                 phase:% = gateway.phase();
                 "refused at admission"
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! servers. This package does the rest:
 //!
 //! - decisions without I/O: [`config`] (routes, client accounts, versions), [`fleet`] (which
-//!   servers may get work), [`engine`] (prefill times of prompts), [`load`] (requests in flight per
+//!   servers may get work), [`freshness`] (how old the copies of the store are), [`engine`] (prefill times of prompts), [`load`] (requests in flight per
 //!   server), [`placement`] (choice of server and helpers, or a refusal), [`budget`] (retries),
 //!   [`health`] (failing servers), [`suspect`] (requests that crash servers), [`events`] (splitting
 //!   streams into events), [`stop`] (phases of a graceful stop);
@@ -27,6 +27,7 @@
 pub mod engine;
 pub mod events;
 pub mod fleet;
+pub mod freshness;
 mod gateway;
 pub mod health;
 pub mod http;
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::Registry;
 use prometheus_client::registry::Unit;
 
+use crate::freshness;
 use crate::health::Outcome;
 
 /// Prefix of the name of each metric family.
@@ -42,6 +43,7 @@
     peers: Gauge,
     in_flight: Gauge,
     store_calls: Family<Label, Counter>,
+    ages: Family<Label, Gauge<f64, AtomicU64>>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -67,6 +69,7 @@
             peers: Gauge::default(),
             in_flight: Gauge::default(),
             store_calls: Family::default(),
+            ages: Family::default(),
         };
         metrics.register();
         metrics
@@ -110,6 +113,12 @@
         registry.register("peers", "Other daemons alive", self.peers.clone());
         registry.register("in_flight", "Requests at servers", self.in_flight.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register_with_unit(
+            "state_age",
+            "Time since the store last confirmed what the daemon holds, by kind",
+            Unit::Seconds,
+            self.ages.clone(),
+        );
     }
 
     /// Observes how much later than requested a timer fired.
@@ -174,6 +183,10 @@
         self.servers.set(state.servers as i64);
         self.peers.set(state.peers as i64);
         self.in_flight.set(state.in_flight as i64);
+        for (kind, age) in state.ages {
+            let label = [("kind", kind.to_string())];
+            self.ages.get_or_create(&label).set(age.as_secs_f64());
+        }
         let mut text = String::new();
         match text::encode(&mut text, &self.registry) {
             Ok(()) => text,
@@ -183,7 +196,7 @@
 }
 
 /// Gauge values that are read when the metrics are scraped.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct State {
     /// Version of the configuration.
     pub version: u64,
@@ -193,4 +206,6 @@
     pub peers: usize,
     /// Requests at servers.
     pub in_flight: usize,
+    /// Ages of the copies of the store that were ever confirmed.
+    pub ages: Vec<(freshness::Kind, Duration)>,
 }
--- a/crates/gateway/src/relay/dispatch.rs
+++ b/crates/gateway/src/relay/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::Gateway;
 use crate::dialect::Helper;
 use crate::fleet::Server;
+use crate::freshness;
 use crate::health::Outcome;
 use crate::http::Request;
 use crate::load::Key;
@@ -49,7 +50,8 @@
             reason:% = placement.reason, helpers:% = placement.helper_names(),
             first_ms = placement.first_ms as u64, part_ms = placement.part_ms as u64,
             prompt = request.metadata.prompt.map_or(0, |p| p.tokens.get()),
-            left_ms = request.time_left(now).as_millis() as u64, version:% = request.version;
+            left_ms = request.time_left(now).as_millis() as u64, version:% = request.version,
+            fleet_age_ms = gateway.age_ms(freshness::Kind::Servers);
             "placed"
         );
         Self {
