gateway, platform: a quiet watch no longer counts as "no change"

Cause: a daemon waited up to 22 s for the answer of a watch. A watch whose connection had died, or whose answer was lost, looked the same as one without changes; nothing else asked. Class: silence taken for a confirmation, with no bound on the age of what is believed. All three kinds of object had it.

Change: freshness::Table keeps, for each kind, when the store last confirmed the copy. The first daemon in the order of names asks the store to answer after 0.9 s at most, change or no change; its reports confirm the copies of the peers that have seen the same last change. The others keep their long watch and give it up once no report has confirmed the copy for 1.2 s (50 ms later for each daemon before them, 1.45 s at most), or 350 ms after a peer has seen a change that they lack. After a failure the store is asked for an answer at once. So the cost at rest is that of one daemon for each kind, and any daemon cut off from its peers takes care of itself.

An answer of an older revision than the last one leads to a new list.

A failed request was also taken for an outage of the store, after which a removed registration stays in use for 1.2 s: with one lost answer that passes the bound for a gone server. Now the silence must have lasted 1.5 s, less than two renewals of a registration (a_server_removed_after_a_short_silence_of_the_store_gets_no_work).

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -12,5 +12,6 @@
 pub use server::Status;
 pub use table::Change;
 pub use table::LAPSE_GRACE;
+pub use table::MIN_OUTAGE;
 pub use table::RETURN_GRACE;
 pub use table::Table;
--- a/crates/gateway/src/fleet/table.rs
+++ b/crates/gateway/src/fleet/table.rs
@@ -10,6 +10,9 @@
 use crate::fleet::Server;
 use crate::fleet::Status;
 
+/// Silence of the store after which registrations may have lapsed because their servers could not
+/// renew them.
+pub const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
 /// How long after reconnecting to the store a daemon still treats a vanished registration as
 /// lapsed. Servers renew their registrations within two seconds of the end of an outage, which a
 /// daemon may notice half a second late.
@@ -48,20 +51,14 @@
     /// Incarnations, by [`Server::start_key`], that peers reported as draining before this daemon
     /// saw it.
     peer_draining: BTreeSet<u64>,
-    store_down: bool,
     store_regained_at: Option<Moment>,
 }
 
 impl Table {
-    /// Records that the store does not respond.
-    pub const fn store_lost(&mut self) {
-        self.store_down = true;
-    }
-
-    /// Records that the store responds again.
-    pub const fn store_regained(&mut self, now: Moment) {
-        if self.store_down {
-            self.store_down = false;
+    /// Records that the store responded after it had not confirmed the registrations for `silence`.
+    /// A short silence is no outage: the answer of one request may have been lost.
+    pub fn store_responded(&mut self, silence: Duration, now: Moment) {
+        if silence >= MIN_OUTAGE {
             self.store_regained_at = Some(now);
         }
     }
@@ -189,9 +186,6 @@
     /// Returns the time until which a registration that vanishes now counts as lapsed, or `None` if
     /// it counts as removed.
     fn lapse_end(&self, now: Moment) -> Option<Moment> {
-        if self.store_down {
-            return Some(now + LAPSE_GRACE);
-        }
         let end = self.store_regained_at? + RETURN_GRACE;
         (now < end).then_some(end.min(now + LAPSE_GRACE))
     }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The state of a daemon and its decisions about requests.
 
+mod copies;
 mod requests;
 mod shutdown;
 mod state;
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -53,6 +53,8 @@
     pub(super) fleet: RefCell<fleet::Table>,
     pub(super) fleet_loaded: Cell<bool>,
     pub(super) freshness: RefCell<freshness::Table>,
+    /// Wakes the watches when a peer has seen a change that a copy lacks.
+    pub(super) change_missed: Notify,
     /// Wakes waiting requests when the configuration or the servers have been loaded.
     pub(super) data_loaded: Notify,
     pub(super) ledger: RefCell<Ledger>,
@@ -91,6 +93,7 @@
             fleet: RefCell::default(),
             fleet_loaded: Cell::new(false),
             freshness: RefCell::default(),
+            change_missed: Notify::new(),
             data_loaded: Notify::new(),
             ledger: RefCell::default(),
             health: RefCell::default(),
@@ -132,18 +135,6 @@
         &self.fleet
     }
 
-    /// Returns how old the copies of the store are.
-    pub const fn freshness(&self) -> &RefCell<freshness::Table> {
-        &self.freshness
-    }
-
-    /// Returns the age of the copy of a kind in milliseconds, for the log; `None` if it was never
-    /// confirmed.
-    pub fn age_ms(&self, kind: freshness::Kind) -> Option<u64> {
-        let age = self.freshness.borrow().age(kind, self.now());
-        age.map(|age| age.as_millis() as u64)
-    }
-
     /// Returns the requests in flight.
     pub const fn ledger(&self) -> &RefCell<Ledger> {
         &self.ledger
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -95,6 +95,7 @@
         stopping: gateway.phase() != Phase::Serving,
         unusable_helpers: gateway.health().borrow().unusable_helpers(now).map(server_key).collect(),
         leaving: gateway.fleet().borrow().draining_keys(),
+        confirmations: gateway.freshness().borrow().confirmations(now).map(Into::into).collect(),
         suspects: suspects.into_iter().map(|(f, crashes)| to_message(f, crashes)).collect(),
     }
 }
@@ -146,6 +147,12 @@
         );
     }
     gateway.mark_reported_unusable_helpers(&report.unusable_helpers);
+    for confirmation in &report.confirmations {
+        match confirmation.kind().try_into() {
+            Ok(kind) => gateway.merge_confirmation(kind, confirmation.into()),
+            Err(reason) => log::debug!(target: "peer", reason:%, from:%; "skipped a confirmation"),
+        }
+    }
     if report.version > gateway.version().get() {
         fetch::start(gateway, from);
     }
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -1,4 +1,7 @@
+use std::time::Duration;
+
 use crate::fleet;
+use crate::freshness;
 use crate::load;
 
 /// The load that a daemon has on one server.
@@ -67,6 +70,34 @@
     pub crashes: u32,
 }
 
+/// What a daemon knows of the objects of one kind in the store.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Confirmation {
+    /// Kind of the objects.
+    #[prost(enumeration = "Kind", tag = "1")]
+    pub kind: i32,
+    /// Revision up to which the daemon has all changes of the kind, none of which is later.
+    #[prost(uint64, tag = "2")]
+    pub last_change: u64,
+    /// Time since the store confirmed this, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
+/// Kind of objects in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum Kind {
+    /// A kind that this version does not know.
+    Unknown = 0,
+    /// The configuration.
+    Config = 1,
+    /// The registrations of the backend servers.
+    Servers = 2,
+    /// The registrations of the daemons.
+    Daemons = 3,
+}
+
 /// A report that a daemon sends to its peers.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Report {
@@ -104,6 +135,9 @@
     /// Demand for short prompts at this daemon, in requests per second.
     #[prost(float, tag = "9")]
     pub demand_short: f32,
+    /// What it knows of the store.
+    #[prost(message, repeated, tag = "12")]
+    pub confirmations: Vec<Confirmation>,
 }
 
 /// The state that a daemon sends to a peer that cannot get it from the store.
@@ -153,6 +187,48 @@
     }
 }
 
+impl From<freshness::Kind> for Kind {
+    fn from(kind: freshness::Kind) -> Self {
+        match kind {
+            freshness::Kind::Config => Self::Config,
+            freshness::Kind::Servers => Self::Servers,
+            freshness::Kind::Daemons => Self::Daemons,
+        }
+    }
+}
+
+impl TryFrom<Kind> for freshness::Kind {
+    type Error = Unreadable;
+
+    fn try_from(kind: Kind) -> Result<Self, Self::Error> {
+        match kind {
+            Kind::Unknown => Err(Unreadable("unknown kind of object".to_owned())),
+            Kind::Config => Ok(Self::Config),
+            Kind::Servers => Ok(Self::Servers),
+            Kind::Daemons => Ok(Self::Daemons),
+        }
+    }
+}
+
+impl From<(freshness::Kind, freshness::Confirmation)> for Confirmation {
+    fn from((kind, confirmation): (freshness::Kind, freshness::Confirmation)) -> Self {
+        Self {
+            kind: Kind::from(kind).into(),
+            last_change: confirmation.last_change.get(),
+            age_ms: u32::try_from(confirmation.age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<&Confirmation> for freshness::Confirmation {
+    fn from(confirmation: &Confirmation) -> Self {
+        Self {
+            last_change: freshness::Revision::new(confirmation.last_change),
+            age: Duration::from_millis(confirmation.age_ms.into()),
+        }
+    }
+}
+
 impl From<&fleet::Server> for Server {
     fn from(server: &fleet::Server) -> Self {
         Self {
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -98,6 +98,11 @@
         self.peers.values().any(|p| p.is_alive(now) && !p.stopping)
     }
 
+    /// Returns how many living peers come before `own` in the order of names.
+    pub fn rank(&self, own: &daemon::Id, now: Moment) -> usize {
+        self.peers.range(..own.clone()).filter(|(_, p)| p.is_alive(now)).count()
+    }
+
     /// Returns how many peers are alive.
     pub fn alive(&self, now: Moment) -> usize {
         self.peers.values().filter(|p| p.is_alive(now)).count()
--- a/crates/gateway/tests/testsuite/fleet.rs
+++ b/crates/gateway/tests/testsuite/fleet.rs
@@ -6,6 +6,7 @@
 use kumquattiller_base::time::Moment;
 use kumquattiller_gateway::fleet::Change;
 use kumquattiller_gateway::fleet::LAPSE_GRACE;
+use kumquattiller_gateway::fleet::MIN_OUTAGE;
 use kumquattiller_gateway::fleet::RETURN_GRACE;
 use kumquattiller_gateway::fleet::Server;
 use kumquattiller_gateway::fleet::Table;
@@ -58,8 +59,7 @@
 #[test]
 fn a_registration_that_lapsed_in_an_outage_is_kept_for_a_grace_period() {
     let mut table = table();
-    table.store_lost();
-    table.store_regained(later(5_000));
+    table.store_responded(MIN_OUTAGE, later(5_000));
     table.replace(vec![server("b")], later(5_000));
     assert_eq!(usable(&table), ["a", "b"]);
     table.expire(later(5_000) + LAPSE_GRACE);
@@ -69,8 +69,7 @@
 #[test]
 fn a_registration_that_comes_back_stays() {
     let mut table = table();
-    table.store_lost();
-    table.store_regained(later(5_000));
+    table.store_responded(MIN_OUTAGE, later(5_000));
     table.replace(vec![server("b")], later(5_000));
     assert_eq!(table.put(server("a")), Change::Same);
     table.expire(later(9_000));
@@ -85,19 +84,26 @@
     let drain = Duration::from_secs(2);
     let notice = Duration::from_millis(500);
     let mut table = table();
-    table.store_lost();
-    table.store_regained(later(5_000));
+    table.store_responded(MIN_OUTAGE, later(5_000));
     let vanished = later(5_000) + RETURN_GRACE - Duration::from_millis(1);
     table.remove(&id("a"), vanished);
     table.expire(vanished + drain - notice);
     assert_eq!(usable(&table), ["b"]);
 }
 
+#[test]
+fn a_server_removed_after_a_short_silence_of_the_store_gets_no_work() {
+    let mut table = table();
+    table.store_responded(MIN_OUTAGE - Duration::from_millis(1), later(5_000));
+    assert_eq!(table.remove(&id("a"), later(5_000)), Change::Gone);
+    assert_eq!(usable(&table), ["b"]);
+}
+
 #[test]
 fn a_draining_server_that_vanishes_in_an_outage_is_removed() {
     let mut table = table();
     table.put(Server { draining: true, ..server("a") });
-    table.store_lost();
+    table.store_responded(MIN_OUTAGE, START);
     assert_eq!(table.remove(&id("a"), later(1)), Change::Gone);
 }
 
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod decisions;
 mod events;
 mod fleet;
+mod freshness;
 mod joint;
 mod load;
 mod peers;
--- a/crates/gateway/tests/testsuite/peers.rs
+++ b/crates/gateway/tests/testsuite/peers.rs
@@ -59,3 +59,11 @@
     assert!(table.is_any_serving(Moment::from_millis(1_900)));
     assert!(!table.is_any_serving(Moment::from_millis(2_100)));
 }
+
+#[test]
+fn the_rank_of_a_daemon_counts_the_living_peers_before_it() {
+    let table = table_after_reports(&["a", "b", "d"]);
+    assert_eq!(table.rank(&id("c"), Moment::from_millis(1_900)), 2);
+    assert_eq!(table.rank(&id("a"), Moment::from_millis(1_900)), 0);
+    assert_eq!(table.rank(&id("c"), Moment::from_millis(2_100)), 0);
+}
