gateway: an outdated configuration denies nothing; callers are told when to come back

What the copy allows is served as before.

a_route_that_an_outdated_configuration_lacks_is_not_denied failed before with 404 in place of 503.

--- a/crates/gateway/src/gateway/copies.rs
+++ b/crates/gateway/src/gateway/copies.rs
@@ -23,6 +23,13 @@
         age.map(|age| age.as_millis() as u64)
     }
 
+    /// Returns whether a newer configuration may be in force elsewhere, since the store has not
+    /// confirmed this one for too long.
+    pub fn is_config_outdated(&self) -> bool {
+        let age = self.freshness.borrow().age(Kind::Config, self.now());
+        age.is_none_or(|age| age > self.settings.config_limit)
+    }
+
     /// Applies what a peer reports of its copy of a kind.
     pub fn merge_confirmation(&self, kind: Kind, reported: Confirmation) {
         let is_missing = self.freshness.borrow_mut().merge(kind, reported, self.now());
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -59,6 +59,9 @@
     let (route, account) = match authorize(&config, host, head.uri.path(), metadata.key.as_deref())
     {
         Ok(authorized) => authorized,
+        Err(_) if gateway.is_config_outdated() => {
+            return Err(refuse(Kind::NoConfiguration, outage_retry_delay(rand::random())));
+        }
         Err(Denied::NoRoute) => return Err(Refusal::rejected(Kind::NotFound)),
         Err(Denied::UnknownKey) => return Err(Refusal::rejected(Kind::UnknownAccount)),
     };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,9 @@
     pub metrics: SocketAddr,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
+    /// Time within which an accepted configuration is in force. A daemon whose copy was not confirmed
+    /// for longer does not deny what the copy lacks.
+    pub config_limit: Duration,
     /// Limits of the retry budget.
     pub budget: budget::Bounds,
 }
