gateway: crashes are counted for parts of prompts, not only for whole requests

Over a tenth of the short streams was not served, and some of the bystanders were refused for good.

Cause: crashes were counted by the fingerprint of the whole request (client account, path and body), and requests that share only a part never add up. The counts of peers were merged by their maximum, so a crash seen by two daemons and two crashes seen by one each looked the same. Bystanders that were moved to the next crashing server were counted as well. Class: blame assigned to the whole instead of to the factor that the cases have in common.

Evidence: 222 of 297 "exited while running" lines have deaths 1, none says "still running", and the 32 lines "will be refused" are of bystanders.

Change: a request has features, its fingerprint and each part of its prompt but the last. A crash is identified by the incarnation that ended; each feature has a set of crashes it is blamed for and a set it is exonerated from, and daemons unite these sets. A request that a server has been writing to for 250 ms cannot have crashed it and exonerates its features. From three crashes on a feature is refused if no more specific one explains its crashes; features that always came together are refused only together.

Streams that end inside an event by a closed connection now lead to the same check of the server as a broken connection, and so does a lost connection while a stream is resumed. What a stream comes from moved to relay/source.rs, what concerns suspects to gateway/suspects.rs.

The two unit tests of the old counts are kept under their names, on the new table, in testsuite/suspects.rs, beside six new ones and the property a_crashing_part_is_found_among_the_parts_of_bystanders.

--- a/crates/base/src/fingerprint.rs
+++ b/crates/base/src/fingerprint.rs
@@ -4,6 +4,9 @@
 
 use crate::account;
 
+/// Seed of the hashes of prompt parts, which keeps them apart from those of requests.
+const PROMPT_PART_SEED: u64 = 1;
+
 /// Hash of a request's client account, path and body.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
@@ -18,6 +21,11 @@
         Self(xxh3_128_with_seed(body, path_hash))
     }
 
+    /// Computes the fingerprint of a part of prompts from its id.
+    pub fn of_prompt_part(id: &str) -> Self {
+        Self(xxh3_128_with_seed(id.as_bytes(), PROMPT_PART_SEED))
+    }
+
     /// Creates a fingerprint from a number, such as one received over a link.
     pub const fn new(value: u128) -> Self {
         Self(value)
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -13,6 +13,7 @@
 use hyper::StatusCode;
 use hyper::http::request::Parts;
 use kumquattiller_base::account;
+use kumquattiller_base::fingerprint::Fingerprint;
 use kumquattiller_base::runner;
 use kumquattiller_base::size::Tokens;
 
@@ -38,6 +39,8 @@
     pub timeout: Option<Duration>,
     /// The prompt, if the request is for an engine.
     pub prompt: Option<Prompt>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<Fingerprint>,
 }
 
 /// A server that prefills a part of a prompt for another server.
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod requests;
 mod shutdown;
 mod state;
+mod suspects;
 mod timeouts;
 mod updates;
 
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -1,7 +1,5 @@
 //! Retry budget, placement and load of requests.
 
-use std::io::ErrorKind;
-use std::rc::Rc;
 use std::time::Duration;
 
 use kumquattiller_base::runner;
@@ -13,7 +11,6 @@
 use crate::dialect::Helper;
 use crate::fleet::Server;
 use crate::http::Request;
-use crate::http::dial;
 use crate::http::memory_retry_delay;
 use crate::load::Assignment;
 use crate::load::Demand;
@@ -32,12 +29,6 @@
 use crate::placement::place_prompt;
 use crate::placement::request_value;
 use crate::reservation::Reservations;
-use crate::suspect;
-
-/// Time for an exiting process to close all its sockets.
-const PROCESS_EXIT_TIME: Duration = Duration::from_millis(50);
-/// Time limit for checking whether a server still accepts connections.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 impl Gateway {
     /// Counts an admitted request for the retry budget of its service.
@@ -80,45 +71,6 @@
         allowed
     }
 
-    /// Checks whether a server exited while it ran a request, and if so counts a crash for the
-    /// request. A lost connection alone is no proof, since the network may have caused it.
-    pub fn check_server_exit(self: &Rc<Self>, request: &Rc<Request>, server: &runner::Id) {
-        let Some(address) = self.fleet.borrow().server(server).map(|s| s.address) else {
-            return;
-        };
-        let (gateway, request, server) = (self.clone(), request.clone(), server.clone());
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(PROCESS_EXIT_TIME).await;
-            let refused = match dial(address, PROBE_TIMEOUT).await {
-                Ok(_) => false,
-                Err(error) => error.kind() == ErrorKind::ConnectionRefused,
-            };
-            if refused {
-                gateway.record_server_exit(&request, &server);
-            } else {
-                info!(
-                    target: "request", id = request.metadata.id, server:%;
-                    "backend server is still running"
-                );
-            }
-        });
-    }
-
-    /// Counts the exit of a server as a crash that the request may have caused.
-    fn record_server_exit(&self, request: &Request, server: &runner::Id) {
-        let crashes = self.suspects.borrow_mut().record_crash(request.fingerprint, self.now());
-        info!(
-            target: "request", id = request.metadata.id, server:%, deaths = crashes;
-            "backend server exited while running the request"
-        );
-        if crashes >= suspect::CRASH_LIMIT {
-            info!(
-                target: "request", id = request.metadata.id, deaths = crashes;
-                "request is suspected of crashing servers and will be refused"
-            );
-        }
-    }
-
     /// Chooses the servers for a request, excluding those in `tried`.
     ///
     /// # Errors
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -264,6 +264,7 @@
         self.pool.expire(now, known);
         self.health.borrow_mut().retain(known);
         self.last_heard.borrow_mut().retain(|id, _| known(id));
+        self.suspects.borrow_mut().expire(now);
     }
 
     /// Returns the metrics in the text format.
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -27,6 +27,7 @@
 use crate::http::Refusal;
 use crate::http::Request;
 use crate::http::outage_retry_delay;
+use crate::suspect::Feature;
 
 /// Fraction of the caller's timeout for which a request waits while a daemon that has just started
 /// loads its configuration and servers. Without the wait, a caller that retries only once would be
@@ -78,6 +79,7 @@
         Err(kind) => return Err(Refusal::rejected(kind)),
     };
     let fingerprint = fingerprint(account.as_ref().map(|a| &a.id), head.uri.path(), &body);
+    let features = Feature::of_request(fingerprint, &metadata.shared_parts);
     Ok(Request {
         metadata: metadata.clone(),
         version: config.version(),
@@ -89,7 +91,7 @@
         uri: path_and_query(&head.uri),
         headers: head.headers,
         body,
-        fingerprint,
+        features,
         arrived,
         deadline: arrived + time_limit,
     })
--- a/crates/gateway/src/http/request.rs
+++ b/crates/gateway/src/http/request.rs
@@ -6,13 +6,13 @@
 use hyper::Method;
 use hyper::Uri;
 use kumquattiller_base::account;
-use kumquattiller_base::fingerprint::Fingerprint;
 use kumquattiller_base::time::Moment;
 
 use crate::config::Route;
 use crate::config::Service;
 use crate::config::Version;
 use crate::dialect::RequestInfo;
+use crate::suspect::Feature;
 
 /// An admitted request from a caller.
 #[derive(Debug)]
@@ -37,8 +37,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
-    /// Hash that identifies identical requests of a client account, to count server crashes.
-    pub fingerprint: Fingerprint,
+    /// What may make it crash servers.
+    pub features: Vec<Feature>,
     /// When the head was read.
     pub arrived: Moment,
     /// When the timeout of the caller or of the route expires, whichever is first.
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -93,14 +93,14 @@
 /// Places a request and sends it to a server, and repeats this with other servers until the
 /// response is final or no retry is allowed.
 async fn run(gateway: &Rc<Gateway>, request: &Rc<Request>) -> Result<Response<Body>, Refusal> {
-    if gateway.suspects().borrow().is_refused(request.fingerprint, gateway.now()) {
-        return Err(Refusal::may_have_run(Kind::CrashesBackends));
-    }
     let mut attempt = admission::new_attempt();
     let mut attempts = 0;
     let mut connect_failures = 0;
     let mut tried = Vec::new();
     loop {
+        if gateway.is_suspect(request) {
+            return Err(Refusal::may_have_run(Kind::CrashesBackends));
+        }
         let placement = match place(gateway, request, &tried).await {
             Ok(placement) => placement,
             Err(declined) => return Err(decline(gateway, request, attempt, declined)),
@@ -288,7 +288,7 @@
     let headers = gateway.dialect().response_headers(&head.headers);
     if verdict == Verdict::Success {
         dispatch.record_success(head.status);
-        gateway.suspects().borrow_mut().clear(request.fingerprint);
+        gateway.exonerate(request);
         return AttemptResult::Final(reply::from_parts(head.status, headers, reply::full(body)));
     }
     dispatch.record_failure(head.status);
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kumquattiller_base::fingerprint::Fingerprint;
 use log::warn;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -13,9 +12,9 @@
 use crate::load::server_key;
 use crate::peer::Load;
 use crate::peer::Report;
-use crate::peer::Suspect;
 use crate::peer::fetch;
 use crate::stop::Phase;
+use crate::suspect;
 
 /// Minimum interval between the regular reports of a daemon.
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
@@ -26,7 +25,7 @@
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 /// Maximum number of suspects in a report.
-const MAX_SUSPECTS: usize = 16;
+const MAX_SUSPECTS: usize = 24;
 
 /// Sends and receives reports until the process exits.
 ///
@@ -82,7 +81,7 @@
     let now = gateway.now();
     let ledger = gateway.ledger().borrow();
     let loads = ledger.report().map(|(server, reported)| Load::of(server, &reported)).collect();
-    let suspects = gateway.suspects().borrow().counts(MAX_SUSPECTS);
+    let suspects = gateway.suspects().borrow().reports(MAX_SUSPECTS, now);
     let demand = ledger.local_demand(now);
     Report {
         demand_long_ms: demand.long_ms_per_s as f32,
@@ -96,15 +95,10 @@
         unusable_helpers: gateway.health().borrow().unusable_helpers(now).map(server_key).collect(),
         leaving: gateway.fleet().borrow().draining_keys(),
         confirmations: gateway.freshness().borrow().confirmations(now).map(Into::into).collect(),
-        suspects: suspects.into_iter().map(|(f, crashes)| to_message(f, crashes)).collect(),
+        suspects: suspects.into_iter().map(Into::into).collect(),
     }
 }
 
-fn to_message(fingerprint: Fingerprint, crashes: u32) -> Suspect {
-    let value = fingerprint.get();
-    Suspect { high: (value >> 64) as u64, low: value as u64, crashes }
-}
-
 /// Decodes a report from a peer and applies it.
 fn handle_datagram(gateway: &Rc<Gateway>, bytes: &[u8], from: SocketAddr) {
     let report = match Report::decode(bytes) {
@@ -136,10 +130,8 @@
         short_per_s: f64::from(report.demand_short),
     };
     gateway.ledger().borrow_mut().update_peer(id, demand, loads, now);
-    for suspect in &report.suspects {
-        let value = (u128::from(suspect.high) << 64) | u128::from(suspect.low);
-        gateway.suspects().borrow_mut().merge_count(Fingerprint::new(value), suspect.crashes, now);
-    }
+    let suspects: Vec<suspect::Report> = report.suspects.iter().map(Into::into).collect();
+    gateway.suspects().borrow_mut().merge(&suspects, now);
     for id in gateway.fleet().borrow_mut().mark_draining(&report.leaving) {
         log::info!(
             target: "fleet", server:% = id, from:%;
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -1,8 +1,13 @@
 use std::time::Duration;
 
+use kumquattiller_base::fingerprint::Fingerprint;
+
 use crate::fleet;
 use crate::freshness;
 use crate::load;
+use crate::suspect;
+use crate::suspect::Crash;
+use crate::suspect::Feature;
 
 /// The load that a daemon has on one server.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -56,18 +61,24 @@
     }
 }
 
-/// A request that was running on servers when they exited.
+/// Something about requests that may crash the servers that run them.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Suspect {
-    /// Upper 64 bits of the request's fingerprint.
+    /// Upper 64 bits of the fingerprint.
     #[prost(fixed64, tag = "1")]
     pub high: u64,
     /// Lower 64 bits of the fingerprint.
     #[prost(fixed64, tag = "2")]
     pub low: u64,
-    /// Number of servers that exited.
-    #[prost(uint32, tag = "3")]
-    pub crashes: u32,
+    /// Position of the part in the prompt, or the highest number for a whole request.
+    #[prost(uint32, tag = "4")]
+    pub depth: u32,
+    /// Crashes for which it is blamed: hashes of the servers that ended, as in `leaving`.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub blamed: Vec<u64>,
+    /// Those of them that it has not caused.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub exonerated: Vec<u64>,
 }
 
 /// What a daemon knows of the objects of one kind in the store.
@@ -126,7 +137,7 @@
     /// Whether it is stopping.
     #[prost(bool, tag = "11")]
     pub stopping: bool,
-    /// Requests that were running on servers when they exited.
+    /// What may have crashed servers.
     #[prost(message, repeated, tag = "7")]
     pub suspects: Vec<Suspect>,
     /// Demand for long prompts at this daemon, in milliseconds of prefill per second.
@@ -187,6 +198,31 @@
     }
 }
 
+impl From<suspect::Report> for Suspect {
+    fn from(report: suspect::Report) -> Self {
+        let fingerprint = report.feature.fingerprint.get();
+        Self {
+            high: (fingerprint >> 64) as u64,
+            low: fingerprint as u64,
+            depth: report.feature.depth,
+            blamed: report.blamed.into_iter().map(Crash::get).collect(),
+            exonerated: report.exonerated.into_iter().map(Crash::get).collect(),
+        }
+    }
+}
+
+impl From<&Suspect> for suspect::Report {
+    fn from(suspect: &Suspect) -> Self {
+        let fingerprint = (u128::from(suspect.high) << 64) | u128::from(suspect.low);
+        let feature = Feature { fingerprint: Fingerprint::new(fingerprint), depth: suspect.depth };
+        Self {
+            feature,
+            blamed: suspect.blamed.iter().copied().map(Crash::of).collect(),
+            exonerated: suspect.exonerated.iter().copied().map(Crash::of).collect(),
+        }
+    }
+}
+
 impl From<freshness::Kind> for Kind {
     fn from(kind: freshness::Kind) -> Self {
         match kind {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -5,6 +5,7 @@
 
 mod broken;
 mod dispatch;
+mod source;
 mod stream;
 
 pub use broken::Broken;
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -3,23 +3,18 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::Response;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
 use log::info;
-use tokio::time::timeout_at;
 
 use crate::Gateway;
 use crate::config::Retry;
-use crate::dialect::ResponseInfo;
 use crate::events::Splitter;
 use crate::health::Outcome;
 use crate::http::Body;
-use crate::http::Connection;
 use crate::http::Exchange;
 use crate::http::Received;
 use crate::http::Request;
@@ -29,32 +24,13 @@
 use crate::http::wait_while_alive;
 use crate::relay::Broken;
 use crate::relay::Dispatch;
+use crate::relay::source::Next;
+use crate::relay::source::Source;
 use crate::reservation::Reservations;
 
-/// Interval at which the timeout of a waiting stream is recomputed.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Result of waiting for more of a stream.
-enum Next {
-    /// More bytes of the response.
-    Bytes(Bytes),
-    /// The end of the response.
-    End,
-    /// The connection failed.
-    Broken(hyper::Error),
-    /// Nothing arrived before the timeout.
-    Silent,
-    /// The deadline of the request has passed.
-    DeadlineExceeded,
-}
-
-/// The server that a stream currently comes from.
-struct Source {
-    dispatch: Dispatch,
-    connection: Connection,
-    info: ResponseInfo,
-    body: Incoming,
-}
+/// Time for which a server must have been writing to a request that has not crashed it. A server
+/// that a request crashes ends with the first events at the latest.
+const EXONERATION_TIME: Duration = Duration::from_millis(250);
 
 /// The attempts of a request until its stream begins, including the current one.
 #[derive(Debug)]
@@ -91,14 +67,14 @@
     history: History,
     received: Received,
 ) -> Response<Body> {
-    let Received { connection, head, info, body } = received;
-    let headers = gateway.dialect().response_headers(&head.headers);
+    let status = received.head.status;
+    let headers = gateway.dialect().response_headers(&received.head.headers);
     let last_event_at = gateway.now();
     let relay = Relay {
         tried: history.tried,
         gateway,
         request,
-        source: Some(Source { dispatch, connection, info, body }),
+        source: Some(Source::new(dispatch, received)),
         splitter: Splitter::default(),
         attempts: history.attempts,
         first_event_at: None,
@@ -111,7 +87,7 @@
         let frame = relay.next().await?;
         Some((frame.map(Frame::data), relay))
     });
-    crate::http::response_from_parts(head.status, headers, Box::pin(StreamBody::new(events)))
+    crate::http::response_from_parts(status, headers, Box::pin(StreamBody::new(events)))
 }
 
 impl Relay {
@@ -127,20 +103,15 @@
                 }
                 return Some(self.abort());
             };
-            match next_chunk(
-                &self.gateway,
-                &self.request,
-                source,
-                self.last_event_at,
-                self.attempts,
-            )
-            .await
-            {
+            let next =
+                source.next_chunk(&self.gateway, &self.request, self.last_event_at, self.attempts);
+            match next.await {
                 Next::Bytes(bytes) => match self.push_bytes(&bytes) {
                     Some(events) => return Some(Ok(events)),
                     None => continue,
                 },
                 Next::End if self.splitter.is_partial() => {
+                    self.blame_for_exit();
                     self.drop_source(Outcome::Broken, "stream ended in the middle of an event");
                 }
                 Next::End => {
@@ -148,8 +119,7 @@
                     return None;
                 }
                 Next::Broken(error) => {
-                    self.gateway
-                        .check_server_exit(&self.request, &source.dispatch.placement().server);
+                    self.blame_for_exit();
                     self.drop_source(Outcome::Broken, &error.to_string());
                 }
                 Next::Silent => self.drop_source(Outcome::Silent, "no event before the timeout"),
@@ -187,6 +157,7 @@
             return None;
         }
         self.chunks += 1;
+        self.exonerate_if_writing(now);
         if self.first_event_at.is_none() {
             self.first_event_at = Some(self.last_event_at);
             self.gateway.metrics().first_event(self.last_event_at.since(self.request.arrived));
@@ -194,6 +165,26 @@
         Some(events)
     }
 
+    /// Exonerates the request if its server has been writing to it for a while.
+    fn exonerate_if_writing(&mut self, now: Moment) {
+        let Some(source) = &mut self.source else {
+            return;
+        };
+        let writing_since = *source.writing_since.get_or_insert(now);
+        if !source.exonerated && now.since(writing_since) >= EXONERATION_TIME {
+            source.exonerated = true;
+            self.gateway.exonerate(&self.request);
+        }
+    }
+
+    /// Checks whether the server has exited, unless the request is known not to be the cause.
+    fn blame_for_exit(&self) {
+        if let Some(source) = self.source.as_ref().filter(|source| !source.exonerated) {
+            let server = &source.dispatch.placement().server;
+            self.gateway.check_server_exit(&self.request, server);
+        }
+    }
+
     /// Marks the stream as complete and returns its connection to the pool.
     fn finish(&mut self) {
         self.ended = true;
@@ -210,7 +201,9 @@
             good_gap_ms = self.request.route.target_gap.as_millis() as u64, sends = self.attempts;
             "stream complete"
         );
-        self.gateway.suspects().borrow_mut().clear(self.request.fingerprint);
+        if source.writing_since.is_some() {
+            self.gateway.exonerate(&self.request);
+        }
         self.gateway.pool().put(source.connection, source.info.keep_alive, self.gateway.now());
     }
 
@@ -241,7 +234,10 @@
         loop {
             let attempts_exhausted = self.attempts >= self.request.route.max_attempts;
             let allowed = self.request.route.retry == Retry::Rest && !attempts_exhausted;
-            if !allowed || !self.gateway.withdraw_retry(&self.request) {
+            if !allowed || self.gateway.is_suspect(&self.request) {
+                return false;
+            }
+            if !self.gateway.withdraw_retry(&self.request) {
                 return false;
             }
             let elsewhere = self.gateway.place(&self.request, &self.tried);
@@ -273,18 +269,18 @@
                 .await
             {
                 Some(Exchange::Received(received)) => {
-                    let Received { connection, head, info, body } = *received;
-                    let verdict = classify(&self.request.metadata.id, head.status, &info);
+                    let status = received.head.status;
+                    let verdict = classify(&self.request.metadata.id, status, &received.info);
                     if verdict == Verdict::Success {
-                        self.source = Some(Source { dispatch, connection, info, body });
+                        self.source = Some(Source::new(dispatch, *received));
                         self.last_event_at = self.gateway.now();
                         return true;
                     }
                     match verdict {
-                        Verdict::NotRun => dispatch.record_not_run(head.status),
-                        _ => dispatch.record_failure(head.status),
+                        Verdict::NotRun => dispatch.record_not_run(status),
+                        _ => dispatch.record_failure(status),
                     }
-                    if let Some(address) = info.failed_server {
+                    if let Some(address) = received.info.failed_server {
                         self.gateway.record_unusable_helper(address);
                     }
                 }
@@ -292,7 +288,8 @@
                     dispatch.record_error(Outcome::Unreachable, &error)
                 }
                 Some(Exchange::ConnectionLost(error)) => {
-                    dispatch.record_error(Outcome::Broken, &error)
+                    dispatch.record_error(Outcome::Broken, &error);
+                    self.gateway.check_server_exit(&self.request, &server.id);
                 }
                 None => dispatch.record_outcome(Outcome::Silent, "no response before the timeout"),
             }
@@ -313,38 +310,3 @@
         }
     }
 }
-
-/// Waits for more of a stream whose last event arrived at `last_event_at`; `attempts` is the number
-/// of attempts so far. The timeout is recomputed at an interval, since meanwhile the server may
-/// begin to prefill a prompt or write only to other streams.
-async fn next_chunk(
-    gateway: &Gateway,
-    request: &Request,
-    source: &mut Source,
-    last_event_at: Moment,
-    attempts: u32,
-) -> Next {
-    loop {
-        let wait_until = gateway.event_deadline(request, &source.dispatch, last_event_at, attempts);
-        let now = gateway.now();
-        if now >= request.deadline {
-            return Next::DeadlineExceeded;
-        }
-        if now >= wait_until {
-            return Next::Silent;
-        }
-        let recheck_at = wait_until.min(now + RECHECK_INTERVAL).min(request.deadline);
-        match timeout_at(gateway.instant(recheck_at), source.body.frame()).await {
-            // The timeout is recomputed.
-            Err(_) => {}
-            Ok(Some(Ok(frame))) => {
-                // Trailers are not forwarded.
-                if let Ok(bytes) = frame.into_data() {
-                    return Next::Bytes(bytes);
-                }
-            }
-            Ok(Some(Err(error))) => return Next::Broken(error),
-            Ok(None) => return Next::End,
-        }
-    }
-}
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -10,3 +10,4 @@
 mod peers;
 mod placement;
 mod support;
+mod suspects;
