gateway: responses without end cost neither memory nor the request

Cause: the body of each response was buffered up to 16 MiB with no bound on all of them together; the body of a refusal was read to its end although only its connection was wanted; a body was waited for until the deadline of the request, also where another server could have been asked; and bytes that completed no event counted as progress of a stream.

Change: http::body reads bodies. Only whole events count as progress of a stream and of its server.

Heads without end were bounded before, by the buffer of the HTTP client and the time of the attempt.

--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -26,6 +26,7 @@
 use crate::health::Health;
 use crate::health::Outcome;
 use crate::http::Pool;
+use crate::http::ResponseMemory;
 use crate::load::Ledger;
 use crate::load::server_key;
 use crate::observe::Metrics;
@@ -69,6 +70,8 @@
     pub(crate) active_connections: Cell<usize>,
     report_requested: Notify,
     pub(super) pool: Pool,
+    /// Memory for the bodies of responses that are being read.
+    response_memory: ResponseMemory,
     pub(super) metrics: Metrics,
     pub(super) stop: Cell<Stop>,
     pub(super) phase: watch::Sender<Phase>,
@@ -105,6 +108,7 @@
             active_connections: Cell::new(0),
             report_requested: Notify::new(),
             pool: Pool::default(),
+            response_memory: ResponseMemory::default(),
             metrics: Metrics::default(),
             phase: watch::Sender::new(Phase::Serving),
         }
@@ -165,6 +169,11 @@
         &self.pool
     }
 
+    /// Returns the memory for the bodies of responses.
+    pub const fn response_memory(&self) -> &ResponseMemory {
+        &self.response_memory
+    }
+
     /// Returns the metrics.
     pub const fn metrics(&self) -> &Metrics {
         &self.metrics
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -5,6 +5,7 @@
 //! another server, or it is refused.
 
 mod admission;
+mod body;
 mod dial;
 mod listener;
 mod place;
@@ -16,6 +17,7 @@
 mod send;
 mod verdict;
 
+pub use body::Memory as ResponseMemory;
 pub use dial::dial;
 pub use dial::set_socket_options;
 pub use listener::listen;
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -1,8 +1,6 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -23,6 +21,7 @@
 use crate::http::Request;
 use crate::http::Verdict;
 use crate::http::admission;
+use crate::http::body;
 use crate::http::classify;
 use crate::http::place::decline;
 use crate::http::place::place;
@@ -35,8 +34,6 @@
 use crate::relay::History;
 use crate::reservation::Reservations;
 
-/// Largest non-streaming response that is buffered, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Failed connection attempts after which a request is refused.
 const MAX_CONNECT_FAILURES: u32 = 4;
 
@@ -175,7 +172,7 @@
         }
         Exchange::Received(received) => {
             let history = History { tried: tried.to_vec(), attempts: attempts + 1 };
-            handle_response(gateway, request, dispatch, history, *received).await
+            handle_response(gateway, request, dispatch, history, *received, wait_until).await
         }
     }
 }
@@ -205,13 +202,14 @@
     }
 }
 
-/// Handles a response whose head has been received.
+/// Handles a response whose head has been received; the attempt lasts until `wait_until`.
 async fn handle_response(
     gateway: &Rc<Gateway>,
     request: &Rc<Request>,
     dispatch: Dispatch,
     history: History,
     received: Received,
+    wait_until: Moment,
 ) -> AttemptResult {
     let verdict = classify(&request.metadata.id, received.head.status, &received.info);
     match verdict {
@@ -227,7 +225,7 @@
             if let Some(address) = received.info.failed_server {
                 gateway.record_unusable_helper(address);
             }
-            let _ = read_body(gateway, request, received).await;
+            body::discard(gateway, received).await;
             AttemptResult::NotRun
         }
         Verdict::Success if request.route.streaming => AttemptResult::Final(relay::response(
@@ -239,40 +237,35 @@
         )),
         Verdict::Success | Verdict::Failure => {
             let head = received.head.clone();
-            let Some(body) = read_body(gateway, request, received).await else {
-                dispatch.record_outcome(Outcome::Broken, "response body incomplete");
-                gateway.check_server_exit(request, &dispatch.placement().server);
-                return AttemptResult::Failed(None);
+            let body = match body::read(gateway, received, wait_until, request.deadline).await {
+                Ok(body) => body,
+                Err(error) => return end_incomplete(gateway, request, &dispatch, &error),
             };
             finish_response(gateway, request, dispatch, verdict, &head, body)
         }
     }
 }
 
-/// Reads the body of a response; returns `None` if the connection fails or the deadline passes.
-async fn read_body(gateway: &Gateway, request: &Request, received: Received) -> Option<Bytes> {
-    let Received { connection, info, body, .. } = received;
-    let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-    let collected = timeout_at(gateway.instant(request.deadline), reading).await;
-    match collected {
-        Ok(Ok(body)) => {
-            send::return_to_pool(gateway, connection, &info, gateway.now());
-            Some(body.to_bytes())
-        }
-        Ok(Err(error)) => {
-            info!(
-                target: "request", id = request.metadata.id, error:%;
-                "failed to read a response body"
-            );
-            None
+/// Ends an attempt whose response is not complete.
+fn end_incomplete(
+    gateway: &Rc<Gateway>,
+    request: &Rc<Request>,
+    dispatch: &Dispatch,
+    error: &body::Error,
+) -> AttemptResult {
+    match error {
+        body::Error::Connection(_) => {
+            dispatch.record_error(Outcome::Broken, error);
+            gateway.check_server_exit(request, &dispatch.placement().server);
         }
-        Err(_) => {
-            info!(
-                target: "request", id = request.metadata.id;
-                "response body not complete at the request deadline"
-            );
-            None
+        body::Error::TooLarge | body::Error::NoMemory => {
+            dispatch.record_error(Outcome::Broken, error);
         }
+        body::Error::Late => dispatch.record_error(Outcome::Silent, error),
+    }
+    match gateway.now() >= request.deadline {
+        true => AttemptResult::DeadlineExceeded,
+        false => AttemptResult::Failed(None),
     }
 }
 
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -134,35 +134,39 @@
         }
     }
 
-    /// Processes received bytes and returns the whole events that they complete.
+    /// Processes received bytes and returns the whole events that they complete. Only whole events
+    /// show that the server works on the stream.
     fn push_bytes(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let Ok(events) = self.splitter.push(bytes) else {
+            self.drop_source(Outcome::Broken, "event exceeds the size limit");
+            return None;
+        };
+        if events.is_empty() {
+            return None;
+        }
+        self.record_events();
+        Some(events)
+    }
+
+    /// Records that whole events arrived.
+    fn record_events(&mut self) {
         let now = self.gateway.now();
-        if self.first_event_at.is_some() {
-            self.longest_gap = self.longest_gap.max(now.since(self.last_event_at));
+        match self.first_event_at {
+            Some(_) => self.longest_gap = self.longest_gap.max(now.since(self.last_event_at)),
+            None => {
+                self.first_event_at = Some(now);
+                self.gateway.metrics().first_event(now.since(self.request.arrived));
+            }
         }
         self.last_event_at = now;
+        self.chunks += 1;
         let first_on_time = self.first_event_at.unwrap_or(now).since(self.request.arrived)
             <= self.request.route.target_latency;
         let on_time = first_on_time && self.longest_gap <= self.request.route.target_gap;
-        let source = self.source.as_ref()?;
-        source.dispatch.record_progress(on_time);
-        let events = match self.splitter.push(bytes) {
-            Ok(events) => events,
-            Err(_) => {
-                self.drop_source(Outcome::Broken, "event exceeds the size limit");
-                return None;
-            }
-        };
-        if events.is_empty() {
-            return None;
+        if let Some(source) = &self.source {
+            source.dispatch.record_progress(on_time);
         }
-        self.chunks += 1;
         self.exonerate_if_writing(now);
-        if self.first_event_at.is_none() {
-            self.first_event_at = Some(self.last_event_at);
-            self.gateway.metrics().first_event(self.last_event_at.since(self.request.arrived));
-        }
-        Some(events)
     }
 
     /// Exonerates the request if its server has been writing to it for a while.
