relay: a stream whose connection closes before any event is not complete

A response that states no end and has no event is now taken for a lost connection: the stream goes on at another server, and the server is checked. a_stream_that_ends_with_its_connection_before_any_event_is_not_complete failed before; two more tests, for a whole stream and for one that ends inside an event, passed already.

--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header;
 use kumquattiller_base::time::Moment;
 use tokio::time::timeout_at;
 
@@ -36,6 +37,8 @@
     pub connection: Connection,
     pub info: ResponseInfo,
     body: Incoming,
+    /// Whether the response states its end; otherwise it ends with its connection.
+    has_stated_end: bool,
     /// When its first event arrived.
     pub writing_since: Option<Moment>,
     /// Whether the request is known not to crash servers when they begin to write.
@@ -44,8 +47,24 @@
 
 impl Source {
     pub fn new(dispatch: Dispatch, received: Received) -> Self {
-        let Received { connection, info, body, .. } = received;
-        Self { dispatch, connection, info, body, writing_since: None, exonerated: false }
+        let Received { connection, head, info, body } = received;
+        let has_stated_end = head.headers.contains_key(header::CONTENT_LENGTH)
+            || head.headers.contains_key(header::TRANSFER_ENCODING);
+        Self {
+            dispatch,
+            connection,
+            info,
+            body,
+            has_stated_end,
+            writing_since: None,
+            exonerated: false,
+        }
+    }
+
+    /// Returns whether the end of the response may be a lost connection: the response neither states
+    /// its end nor has any event.
+    pub const fn may_be_lost(&self) -> bool {
+        !self.has_stated_end && self.writing_since.is_none()
     }
 
     /// Waits for more of the stream, whose last event arrived at `last_event_at`; `attempts` is the
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -114,6 +114,10 @@
                     self.blame_for_exit();
                     self.drop_source(Outcome::Broken, "stream ended in the middle of an event");
                 }
+                Next::End if self.chunks == 0 && source.may_be_lost() => {
+                    self.blame_for_exit();
+                    self.drop_source(Outcome::Broken, "connection closed before any event");
+                }
                 Next::End => {
                     self.finish();
                     return None;
