runner: a stopping process sends the last frames before it closes its links

Cause: the process waited for its jobs, not for the tasks that copy their responses to links. A job ends when its engine has answered; the copy of the last parts may still be under way.

Change: subscriptions are tasks that a graceful stop waits for. Links are then closed in order: the queued frames are written, and the process reads until the daemon closes its direction, for a second at most.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::FramedWrite;
+use tokio_util::sync::CancellationToken;
 
 use crate::Identity;
 use crate::Sender;
@@ -158,23 +159,42 @@
     let (queue, frames) = mpsc::channel(QUEUE_FRAMES);
     let sent_bytes = Arc::new(AtomicU64::new(0));
     let control_bytes = Arc::new(AtomicU64::new(0));
-    tokio::spawn(write_frames(write, frames, Arc::clone(&sent_bytes), Arc::clone(&control_bytes)));
+    let closing = CancellationToken::new();
+    tokio::spawn(write_frames(
+        write,
+        frames,
+        closing.clone(),
+        Arc::clone(&sent_bytes),
+        Arc::clone(&control_bytes),
+    ));
     let frames = FramedRead::new(read, Codec::default());
     let receiver = Receiver { frames, control_bytes: Arc::clone(&control_bytes) };
-    Ok((Sender::new(queue, sent_bytes, control_bytes), receiver))
+    Ok((Sender::new(queue, closing, sent_bytes, control_bytes), receiver))
 }
 
-/// Writes queued frames until the queue or the connection closes.
+/// Writes queued frames until the queue or the connection closes, or until `closing` is cancelled
+/// and the queue is empty.
 ///
 /// Flushes once for all the frames that are queued at the time.
 async fn write_frames(
     write: OwnedWriteHalf,
     mut frames: mpsc::Receiver<Frame>,
+    closing: CancellationToken,
     sent_bytes: Arc<AtomicU64>,
     control_bytes: Arc<AtomicU64>,
 ) {
     let mut sink = FramedWrite::new(write, Codec::default());
-    while let Some(frame) = frames.recv().await {
+    loop {
+        let received = tokio::select! {
+            frame = frames.recv() => frame,
+            () = closing.cancelled(), if !frames.is_closed() => {
+                frames.close();
+                continue;
+            }
+        };
+        let Some(frame) = received else {
+            break;
+        };
         control_bytes.fetch_add(control::frame_bytes(&frame), Ordering::Relaxed);
         if sink.feed(frame).await.is_err() {
             return;
--- a/crates/link/src/sender.rs
+++ b/crates/link/src/sender.rs
@@ -8,6 +8,7 @@
 use kumquattiller_wire::Frame;
 use kumquattiller_wire::link;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::Closed;
 
@@ -18,6 +19,8 @@
 #[derive(Debug, Clone)]
 pub struct Sender {
     queue: mpsc::Sender<Frame>,
+    /// Cancelled to close the link once the queued frames are written.
+    closing: CancellationToken,
     sent_bytes: Arc<AtomicU64>,
     control_bytes: Arc<AtomicU64>,
 }
@@ -25,10 +28,11 @@
 impl Sender {
     pub(crate) const fn new(
         queue: mpsc::Sender<Frame>,
+        closing: CancellationToken,
         sent_bytes: Arc<AtomicU64>,
         control_bytes: Arc<AtomicU64>,
     ) -> Self {
-        Self { queue, sent_bytes, control_bytes }
+        Self { queue, closing, sent_bytes, control_bytes }
     }
 
     /// Queues a frame; waits while the queue is full.
@@ -63,6 +67,12 @@
         Ok(())
     }
 
+    /// Closes the sending direction once the frames that are queued are written; later frames are
+    /// refused.
+    pub fn close(&self) {
+        self.closing.cancel();
+    }
+
     /// Waits until the link is closed.
     pub async fn closed(&self) {
         self.queue.closed().await;
--- a/crates/runner/src/link/listener.rs
+++ b/crates/runner/src/link/listener.rs
@@ -14,7 +14,7 @@
         };
         match stream {
             Ok((stream, _)) => {
-                tokio::spawn(serve_link(process.clone(), stream));
+                process.spawn_link(serve_link(process.clone(), stream));
             }
             Err(error) => log::warn!("failed to accept a link connection: {error}"),
         }
--- a/crates/runner/src/link/session.rs
+++ b/crates/runner/src/link/session.rs
@@ -66,13 +66,26 @@
         let name = self.peer.name.clone();
         let spread = (self.peer.role == ENTRY_ROLE)
             .then(|| self.process.spread().add_link(&name, self.sender.clone()));
-        self.handle_frames(receiver).await;
+        let stopped = self.process.stopped().clone();
+        let mut receiver = receiver;
+        tokio::select! {
+            () = self.handle_frames(&mut receiver) => {}
+            () = stopped.cancelled() => self.close(receiver).await,
+        }
         if let Some(spread) = spread {
             self.process.spread().remove_link(spread);
         }
     }
 
-    async fn handle_frames(&mut self, mut receiver: Receiver) {
+    /// Closes the link of a stopping process. Reads until the peer has closed its direction too: the
+    /// system resets a connection that is closed with unread bytes, and the peer would lose frames
+    /// that it has not read yet.
+    async fn close(&self, mut receiver: Receiver) {
+        self.sender.close();
+        while let Ok(Some(_)) = receiver.next().await {}
+    }
+
+    async fn handle_frames(&mut self, receiver: &mut Receiver) {
         loop {
             let received = tokio::select! {
                 received = receiver.next() => received,
--- a/crates/runner/src/link/subscriptions.rs
+++ b/crates/runner/src/link/subscriptions.rs
@@ -35,8 +35,9 @@
         }
         let process = self.process.clone();
         let sender = self.sender.clone();
-        tokio::spawn(async move {
-            subscription::run(process, sender, job, offset, token.clone()).await;
+        let copying = subscription::run(process, sender, job, offset, token.clone());
+        self.process.spawn(async move {
+            copying.await;
             token.cancel();
         });
     }
--- a/crates/runner/src/process.rs
+++ b/crates/runner/src/process.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::interval;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tokio_util::task::task_tracker::TaskTrackerToken;
@@ -35,6 +36,8 @@
 use crate::reconcile;
 use crate::suspects::Suspects;
 
+/// Time for entry daemons to close their links after the process has closed its own direction.
+const LINK_CLOSE_LIMIT: Duration = Duration::from_secs(1);
 /// Interval of the periodic upkeep of jobs, gate and configuration.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -58,6 +61,8 @@
     suspects: Suspects,
     recorder: Recorder,
     tasks: TaskTracker,
+    /// The sessions of the links.
+    links: TaskTracker,
     draining: CancellationToken,
     stopped: CancellationToken,
     spread: Spread,
@@ -90,6 +95,7 @@
             suspects,
             recorder: Recorder::default(),
             tasks: TaskTracker::new(),
+            links: TaskTracker::new(),
             draining: CancellationToken::new(),
             stopped: CancellationToken::new(),
             spread: Spread::default(),
@@ -132,11 +138,15 @@
         }
     }
 
-    /// Waits for the tracked tasks, then stops the process's background tasks.
+    /// Waits for the tracked tasks, then stops the process's background tasks and closes the links.
     async fn wait_for_tasks(&self) {
         self.inner.tasks.close();
         self.inner.tasks.wait().await;
         self.inner.stopped.cancel();
+        self.inner.links.close();
+        if timeout(LINK_CLOSE_LIMIT, self.inner.links.wait()).await.is_err() {
+            log::warn!(open = self.inner.links.len(); "links were not closed in time");
+        }
         log::info!(runner:% = self.settings().id; "runner process stopped");
     }
 
@@ -157,6 +167,11 @@
         self.inner.tasks.spawn(task);
     }
 
+    /// Spawns the session of a link, which a graceful stop ends last.
+    pub fn spawn_link(&self, session: impl Future<Output = ()> + Send + 'static) {
+        self.inner.links.spawn(session);
+    }
+
     /// Returns the settings.
     pub fn settings(&self) -> &Settings {
         &self.inner.settings
