support: a fleet of the tests counts as ready once every daemon has all its links

The builder now waits for the links of every daemon to all runner processes. The reading of the metric moved from the membership tests to the fleet. Each was seen once before, so this is the cause by reading, not by a run that failed.

--- a/crates/support/src/fleet/builder.rs
+++ b/crates/support/src/fleet/builder.rs
@@ -156,6 +156,7 @@
         let binaries = self.binaries;
         let fleet = Fleet { binaries, folder, ip, platform, entries, runners, configuration };
         fleet.wait_until_ready().await;
+        fleet.wait_until_linked().await;
         fleet
     }
 
--- a/crates/support/src/fleet/mod.rs
+++ b/crates/support/src/fleet/mod.rs
@@ -93,6 +93,30 @@
         }
     }
 
+    /// Returns how many links entry daemon `index` has to peers of a role, or `None` when it does not
+    /// answer.
+    pub async fn link_count(&self, index: usize, role: &str) -> Option<usize> {
+        let request = self.caller(index).request("GET", "/metrics");
+        let text = request.send().await.ok()?.text().await.ok()?;
+        let metric = format!("kumquattiller_links{{peer=\"{role}\"}}");
+        let line = text.lines().find(|line| line.starts_with(&metric))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
+    /// Waits until every entry daemon has links to all runner processes.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a link is not open in time.
+    pub async fn wait_until_linked(&self) {
+        for index in 0..self.entries.len() {
+            wait::until("links to all runners", READY_TIMEOUT, async || {
+                self.link_count(index, "runner").await == Some(self.runners.len())
+            })
+            .await;
+        }
+    }
+
     /// Waits until every entry daemon is ready and has served a request.
     ///
     /// # Panics
--- a/tests/testsuite/membership.rs
+++ b/tests/testsuite/membership.rs
@@ -10,19 +10,11 @@
 /// Longest time until all daemons have links to each other, including the lag of the VM list.
 const LINK_LIMIT: Duration = Duration::from_secs(20);
 
-/// Returns how many links a daemon has to other daemons, or `None` when it does not answer.
-async fn link_count(fleet: &Fleet, index: usize) -> Option<usize> {
-    let request = fleet.caller(index).request("GET", "/metrics");
-    let text = request.send().await.ok()?.text().await.ok()?;
-    let line = text.lines().find(|line| line.starts_with("kumquattiller_links{peer=\"entry\"}"))?;
-    line.rsplit(' ').next()?.parse().ok()
-}
-
 /// Waits until each daemon of `indexes` has links to `count` other daemons.
 async fn wait_until_linked(fleet: &Fleet, indexes: &[usize], count: usize) {
     for index in indexes {
         wait::until("links between daemons", LINK_LIMIT, async || {
-            link_count(fleet, *index).await == Some(count)
+            fleet.link_count(*index, "entry").await == Some(count)
         })
         .await;
     }
