--- a/tests/testsuite/crashing.rs
+++ b/tests/testsuite/crashing.rs
@@ -5,6 +5,7 @@
 use kumquattiller_support::caller::Piece;
 use kumquattiller_support::fleet::Fleet;
 use kumquattiller_support::fleet::MODEL;
+use serde_json::Value;
 
 use crate::support::fleet;
 
@@ -68,6 +69,13 @@
     assert!(lost_engines(&fleet) <= 2, "{} engines lost", lost_engines(&fleet));
 }
 
+/// Returns whether a stored document has a record of a request that is known to crash engines.
+fn is_confirmed(document: &Value) -> bool {
+    let records = document["records"].as_object().into_iter().flat_map(|records| records.values());
+    let mut confirmations = records.filter_map(|record| record["confirmations"].as_array());
+    confirmations.any(|deaths| !deaths.is_empty())
+}
+
 /// A restarted daemon reads from the store which requests have crashed engines.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_daemon_reads_known_crashing_requests_from_the_store() {
@@ -78,14 +86,7 @@
     kumquattiller_support::wait::until(
         "the record in the store",
         std::time::Duration::from_secs(10),
-        async || {
-            fleet
-                .platform
-                .list("suspects")
-                .objects
-                .iter()
-                .any(|o| o.value.to_string().contains("confirmations"))
-        },
+        async || fleet.platform.list("suspects").objects.iter().any(|o| is_confirmed(&o.value)),
     )
     .await;
     for entry in &mut fleet.entries {
