--- a/crates/support/src/relay.rs
+++ b/crates/support/src/relay.rs
@@ -30,6 +30,15 @@
     pub delay: Duration,
 }
 
+impl Mode {
+    const fn is_silent(&self, direction: Direction) -> bool {
+        match direction {
+            Direction::Out => self.silent_out,
+            Direction::Back => self.silent_back,
+        }
+    }
+}
+
 /// Direction in which a connection forwards bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Direction {
@@ -151,20 +160,9 @@
     let _ = target.set_nodelay(true);
     let (client_read, client_write) = client.into_split();
     let (target_read, target_write) = target.into_split();
-    let outbound = forward_bytes(
-        client_read,
-        target_write,
-        shared.mode.subscribe(),
-        |mode| mode.silent_out,
-        shared.wait_until_muted(number, Direction::Out),
-    );
-    let inbound = forward_bytes(
-        target_read,
-        client_write,
-        shared.mode.subscribe(),
-        |mode| mode.silent_back,
-        shared.wait_until_muted(number, Direction::Back),
-    );
+    let forward = |from, to, direction| forward_bytes(from, to, &shared, number, direction);
+    let outbound = forward(client_read, target_write, Direction::Out);
+    let inbound = forward(target_read, client_write, Direction::Back);
     tokio::select! {
         _ = async { tokio::join!(outbound, inbound) } => {}
         () = cut => {}
@@ -172,16 +170,17 @@
 }
 
 /// Forwards bytes in one direction until the connection ends; holds them back while the direction
-/// is silent, and for good once `muted` completes.
+/// is silent, and for good once the connection with this number is muted.
 async fn forward_bytes(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mut mode: watch::Receiver<Mode>,
-    is_silent: impl Fn(&Mode) -> bool,
-    muted: impl Future<Output = ()>,
+    shared: &Shared,
+    number: u64,
+    direction: Direction,
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
-    let mut muted = std::pin::pin!(muted);
+    let mut mode = shared.mode.subscribe();
+    let mut muted = std::pin::pin!(shared.wait_until_muted(number, direction));
     loop {
         let read = tokio::select! {
             biased;
@@ -191,7 +190,8 @@
         let Ok(length) = read else {
             break;
         };
-        let Ok(current) = mode.wait_for(|mode| !is_silent(mode)).await.map(|mode| *mode) else {
+        let Ok(current) = mode.wait_for(|mode| !mode.is_silent(direction)).await.map(|mode| *mode)
+        else {
             return;
         };
         if !current.delay.is_zero() {
--- a/xtask/src/demo/fleet.rs
+++ b/xtask/src/demo/fleet.rs
@@ -1,9 +1,6 @@
 use std::process::Command;
-use std::time::Duration;
-use std::time::Instant;
 
 use serde_json::json;
-use tokio::time::sleep;
 
 use crate::Error;
 use crate::Result;
@@ -12,7 +9,7 @@
 use crate::fleet::Launcher;
 use crate::fleet::Programs;
 use crate::fleet::Standin;
-use crate::fleet::wait_until_ready;
+use crate::fleet::wait_for_links;
 use crate::root;
 
 /// Number of model engines.
@@ -23,12 +20,8 @@
 const ENGINE_MEMORY_TOKENS: u64 = 450_000;
 /// Folder of settings and logs, relative to the root of the repository.
 const FOLDER: &str = "target/demo";
-/// Time within which all links must be open.
-const LINKS_TIMEOUT: Duration = Duration::from_secs(20);
 /// Metric that counts the links to runner processes.
 const RUNNER_LINKS_METRIC: &str = "kumquattiller_links{peer=\"runner\"}";
-/// Interval between reads of the link metric.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The processes of the demo; dropping it kills them.
 #[derive(Debug)]
@@ -66,7 +59,7 @@
         fleet.start_entries(&platform.url).await?;
         fleet.apply_configuration(&platform.url)?;
         fleet.standins.push(platform);
-        fleet.wait_for_links().await?;
+        wait_for_links(&fleet.entries, RUNNER_LINKS_METRIC, fleet.runners.len()).await?;
         Ok(fleet)
     }
 
@@ -114,26 +107,6 @@
         if status.success() { Ok(()) } else { Err(format!("apply exited with {status}").into()) }
     }
 
-    /// Waits until every entry daemon is ready and has a link to every runner process.
-    async fn wait_for_links(&self) -> Result {
-        let started = Instant::now();
-        for entry in &self.entries {
-            wait_until_ready(&format!("{}/readyz", entry.url())).await?;
-            let expected = self.runners.len() as f64;
-            while entry.sum_metric(RUNNER_LINKS_METRIC).await? < expected {
-                if started.elapsed() > LINKS_TIMEOUT {
-                    return Err(format!(
-                        "{} has not opened all links in time",
-                        entry.process.name()
-                    )
-                    .into());
-                }
-                sleep(POLL_INTERVAL).await;
-            }
-        }
-        Ok(())
-    }
-
     /// Returns the options of the stand-in engines: their memory and loaded models.
     fn engine_options(&self) -> Vec<String> {
         let mut options = vec!["--memory".to_owned(), ENGINE_MEMORY_TOKENS.to_string()];
--- a/xtask/src/fleet/mod.rs
+++ b/xtask/src/fleet/mod.rs
@@ -12,4 +12,5 @@
 pub use launcher::Standin;
 pub use process::Process;
 pub use ready::free_address;
+pub use ready::wait_for_links;
 pub use ready::wait_until_ready;
--- a/xtask/src/fleet/ready.rs
+++ b/xtask/src/fleet/ready.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use crate::Error;
+use crate::fleet::Daemon;
 
 /// The next port to return. Starts below the ephemeral ports, which the kernel may give to outgoing
 /// connections.
@@ -17,6 +18,10 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Interval between requests.
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// Time within which entry daemons must open their links.
+const LINKS_TIMEOUT: Duration = Duration::from_secs(60);
+/// Interval between readings of the number of links.
+const LINKS_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Returns a loopback address that this process has not returned before.
 ///
@@ -44,3 +49,24 @@
     }
     Err(format!("{url} is not ready after {READY_TIMEOUT:?}").into())
 }
+
+/// Waits until every entry daemon is ready and the sum of its metrics whose names start with
+/// `metric`, which counts links, is at least `links`.
+///
+/// # Errors
+///
+/// Fails when this takes longer than a minute.
+pub async fn wait_for_links(entries: &[Daemon], metric: &str, links: usize) -> Result<(), Error> {
+    let started = Instant::now();
+    for entry in entries {
+        wait_until_ready(&format!("{}/readyz", entry.url())).await?;
+        while entry.sum_metric(metric).await? < links as f64 {
+            if started.elapsed() > LINKS_TIMEOUT {
+                let name = entry.process.name();
+                return Err(format!("{name} has not opened all links in time").into());
+            }
+            sleep(LINKS_INTERVAL).await;
+        }
+    }
+    Ok(())
+}
--- a/xtask/src/slopes/cluster.rs
+++ b/xtask/src/slopes/cluster.rs
@@ -12,17 +12,15 @@
 use crate::fleet::Launcher;
 use crate::fleet::Programs;
 use crate::fleet::Standin;
-use crate::fleet::wait_until_ready;
+use crate::fleet::wait_for_links;
 use crate::root;
 use crate::slopes::sample;
 use crate::slopes::usage;
 
 /// Folder of settings and logs, relative to the root of the repository.
 const FOLDER: &str = "target/slopes";
-/// Time within which all links must be open.
-const LINKS_TIMEOUT: Duration = Duration::from_secs(60);
-/// Interval between reads of the link metric.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Prefix of the metrics that count the links of a daemon to all roles.
+const LINKS_METRIC: &str = "kumquattiller_links{";
 /// Time between the start of a cluster and its first measurement.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Availability zone of all processes.
@@ -102,7 +100,7 @@
             add_vm(platform, &id, &daemon).await?;
             cluster.entries.push(daemon);
         }
-        cluster.wait_for_links().await?;
+        wait_for_links(&cluster.entries, LINKS_METRIC, cluster.runners.len()).await?;
         sleep(SETTLE_TIME).await;
         Ok(cluster)
     }
@@ -137,27 +135,6 @@
         self.runners.push(daemon);
         Ok(())
     }
-
-    /// Waits until every entry daemon is ready and has at least as many links as there are runner
-    /// processes.
-    async fn wait_for_links(&self) -> Result {
-        let started = Instant::now();
-        for entry in &self.entries {
-            wait_until_ready(&format!("{}/readyz", entry.url())).await?;
-            let expected = self.runners.len() as f64;
-            while entry.sum_metric("kumquattiller_links{").await? < expected {
-                if started.elapsed() > LINKS_TIMEOUT {
-                    return Err(format!(
-                        "{} has not opened all links in time",
-                        entry.process.name()
-                    )
-                    .into());
-                }
-                sleep(POLL_INTERVAL).await;
-            }
-        }
-        Ok(())
-    }
 }
 
 /// Adds an entry daemon to the platform's list of VMs.
