gateway: a refusal of crashing requests ends although peers report it to one another

Fault of, found by reading: a daemon whose record of a crashing feature had expired got it back from a peer whose record had not, with the time of that report as the time of the crash, and the peer got it back in turn. The refusal of ten minutes never ended.

Reports carry the time since the last crash, and a record that has expired is not taken over. a_refusal_that_peers_report_to_one_another_ends_as_well failed before.

--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -79,6 +79,9 @@
     /// Those of them that it has not caused.
     #[prost(fixed64, repeated, tag = "6")]
     pub exonerated: Vec<u64>,
+    /// Time since the last of the crashes, in milliseconds.
+    #[prost(uint32, tag = "7")]
+    pub age_ms: u32,
 }
 
 /// What a daemon knows of the objects of one kind in the store.
@@ -207,6 +210,7 @@
             depth: report.feature.depth,
             blamed: report.blamed.into_iter().map(Crash::get).collect(),
             exonerated: report.exonerated.into_iter().map(Crash::get).collect(),
+            age_ms: u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX),
         }
     }
 }
@@ -219,6 +223,7 @@
             feature,
             blamed: suspect.blamed.iter().copied().map(Crash::of).collect(),
             exonerated: suspect.exonerated.iter().copied().map(Crash::of).collect(),
+            age: Duration::from_millis(suspect.age_ms.into()),
         }
     }
 }
--- a/crates/gateway/src/suspect/record.rs
+++ b/crates/gateway/src/suspect/record.rs
@@ -24,20 +24,21 @@
     /// In the order in which this daemon learned of them.
     blamed: Vec<Crash>,
     exonerated: Vec<Crash>,
-    /// When a crash was added.
+    /// When the last crash happened.
     crashed_at: Moment,
     /// When anything was added.
     pub changed_at: Moment,
 }
 
 impl Record {
-    pub const fn new(feature: Feature, now: Moment) -> Self {
+    /// Creates a record for a crash that happened at `crashed_at`.
+    pub const fn new(feature: Feature, crashed_at: Moment) -> Self {
         Self {
             feature,
             blamed: Vec::new(),
             exonerated: Vec::new(),
-            crashed_at: now,
-            changed_at: now,
+            crashed_at,
+            changed_at: crashed_at,
         }
     }
 
@@ -46,11 +47,11 @@
         self.blamed.iter().copied().filter(|crash| !self.exonerated.contains(crash))
     }
 
-    /// Adds a crash; returns whether it is new.
-    pub fn blame(&mut self, crash: Crash, now: Moment) -> bool {
+    /// Adds a crash that happened at `crashed_at`; returns whether it is new.
+    pub fn blame(&mut self, crash: Crash, crashed_at: Moment, now: Moment) -> bool {
         let is_new = add(&mut self.blamed, crash);
         if is_new {
-            self.crashed_at = now;
+            self.crashed_at = self.crashed_at.max(crashed_at);
             self.changed_at = now;
         }
         is_new
@@ -81,7 +82,7 @@
             has_changed |= self.exonerate(*crash, now);
         }
         for crash in report.blamed.iter().rev() {
-            has_changed |= self.blame(*crash, now);
+            has_changed |= self.blame(*crash, now - report.age, now);
         }
         has_changed
     }
@@ -92,12 +93,13 @@
         now.since(self.crashed_at) >= lifetime
     }
 
-    pub fn report(&self) -> Report {
+    pub fn report(&self, now: Moment) -> Report {
         let latest = |crashes: &[Crash]| crashes.iter().rev().take(MAX_REPORTED).copied().collect();
         Report {
             feature: self.feature,
             blamed: latest(&self.blamed),
             exonerated: latest(&self.exonerated),
+            age: now.since(self.crashed_at),
         }
     }
 }
--- a/crates/gateway/src/suspect/report.rs
+++ b/crates/gateway/src/suspect/report.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use crate::suspect::Crash;
 use crate::suspect::Feature;
 
@@ -10,4 +12,6 @@
     pub blamed: Vec<Crash>,
     /// Those of them from which it was exonerated.
     pub exonerated: Vec<Crash>,
+    /// Time since the last of the crashes.
+    pub age: Duration,
 }
--- a/crates/gateway/src/suspect/table.rs
+++ b/crates/gateway/src/suspect/table.rs
@@ -39,7 +39,7 @@
     pub fn blame(&mut self, features: &[Feature], crash: Crash, now: Moment) -> usize {
         for feature in features {
             if !self.is_innocent(feature.fingerprint, now) {
-                self.record(*feature, now).blame(crash, now);
+                self.record(*feature, now).blame(crash, now, now);
             }
         }
         self.update_rules();
@@ -69,11 +69,14 @@
         let mut has_changed = false;
         for report in reports {
             let is_innocent = self.is_innocent(report.feature.fingerprint, now);
-            let record = self.record(report.feature, now);
+            let record = self.record(report.feature, now - report.age);
             has_changed |= record.merge(report, now);
             if is_innocent {
                 has_changed |= record.exonerate_all(now);
             }
+            if record.is_expired(now) {
+                self.records.remove(&report.feature.fingerprint);
+            }
         }
         if has_changed {
             self.update_rules();
@@ -92,7 +95,7 @@
         let is_due = |r: &&Record| is_refused(r) || now.since(r.changed_at) < REPORT_TIME;
         let mut due: Vec<&Record> = self.records.values().filter(is_due).collect();
         due.sort_by_key(|r| (Reverse(is_refused(r)), Reverse(r.changed_at)));
-        due.into_iter().take(limit).map(Record::report).collect()
+        due.into_iter().take(limit).map(|record| record.report(now)).collect()
     }
 
     /// Removes expired records.
@@ -102,12 +105,13 @@
         self.update_rules();
     }
 
-    /// Returns the record of a feature, which is created if there is none.
-    fn record(&mut self, feature: Feature, now: Moment) -> &mut Record {
+    /// Returns the record of a feature; if there is none, one is created for a crash that happened at
+    /// `crashed_at`.
+    fn record(&mut self, feature: Feature, crashed_at: Moment) -> &mut Record {
         if self.records.len() >= MAX_RECORDS {
             self.evict_oldest();
         }
-        self.records.entry(feature.fingerprint).or_insert_with(|| Record::new(feature, now))
+        self.records.entry(feature.fingerprint).or_insert_with(|| Record::new(feature, crashed_at))
     }
 
     fn is_in_rule(&self, feature: Fingerprint) -> bool {
--- a/crates/gateway/tests/testsuite/suspects.rs
+++ b/crates/gateway/tests/testsuite/suspects.rs
@@ -129,6 +129,22 @@
     assert!(!suspects.is_refused(&suspect));
 }
 
+#[test]
+fn a_refusal_that_peers_report_to_one_another_ends_as_well() {
+    let mut daemons = [Suspects::default(), Suspects::default()];
+    let suspect = request(7, &[]);
+    (0..CRASH_LIMIT as u64).for_each(|number| crash(&mut daemons[0], &suspect, number));
+    for second in 0..700 {
+        let now = Moment::ZERO + Duration::from_secs(second);
+        for (from, to) in [(0, 1), (1, 0)] {
+            let reports = daemons[from].reports(MAX_REPORTS, now);
+            daemons[to].expire(now);
+            daemons[to].merge(&reports, now);
+        }
+    }
+    assert!(daemons.iter().all(|daemon| !daemon.is_refused(&suspect)));
+}
+
 /// A fleet whose daemons send requests to servers, many at a time on each, and report to one
 /// another at an interval.
 struct Fleet {
