gateway: only the store's own answers to a daemon confirm the copies of its peers

Fault of, found by reading: a daemon passed on what a peer had told it. Each hop forgets the time that the report took, so two daemons that hear only one another kept their copies young: with reports every 50 ms that take 50 ms the age did not grow at all, nobody asked the store, and nothing was overdue.

Reports carry the age of the last answer that the store gave to this daemon. a_copy_grows_old_while_peers_report_to_one_another_over_slow_links failed before.

--- a/crates/gateway/src/freshness/confirmation.rs
+++ b/crates/gateway/src/freshness/confirmation.rs
@@ -7,6 +7,6 @@
 pub struct Confirmation {
     /// Revision up to which the copy contains all changes of its kind, none of which is later.
     pub last_change: Revision,
-    /// Time since the copy was confirmed.
+    /// Time since the store confirmed the copy to that daemon.
     pub age: Duration,
 }
--- a/crates/gateway/src/freshness/table.rs
+++ b/crates/gateway/src/freshness/table.rs
@@ -24,7 +24,10 @@
     /// Revision of the last answer of the store.
     revision: Revision,
     last_change: Revision,
+    /// When the store or a peer last confirmed the copy.
     confirmed_at: Moment,
+    /// When the store last confirmed it to this daemon.
+    own_confirmed_at: Moment,
     missing: Option<Missing>,
 }
 
@@ -44,11 +47,18 @@
         last_change: Option<Revision>,
         at: Moment,
     ) {
-        let first = Copy { revision, last_change: revision, confirmed_at: at, missing: None };
+        let first = Copy {
+            revision,
+            last_change: revision,
+            confirmed_at: at,
+            own_confirmed_at: at,
+            missing: None,
+        };
         let copy = self.copies.entry(kind).or_insert(first);
         copy.revision = revision;
         copy.last_change = last_change.unwrap_or(copy.last_change);
         copy.confirmed_at = copy.confirmed_at.max(at);
+        copy.own_confirmed_at = copy.own_confirmed_at.max(at);
         let is_missing = |m: &Missing| m.change > revision && m.since > at;
         copy.missing = copy.missing.filter(is_missing);
     }
@@ -76,11 +86,12 @@
         self.copies.get(&kind).map(|copy| now.since(copy.confirmed_at))
     }
 
-    /// Returns what to tell the peers.
+    /// Returns what to tell the peers. Only the store's own answers are passed on: what peers tell
+    /// one another grows younger by the time that each report takes.
     pub fn confirmations(&self, now: Moment) -> impl Iterator<Item = (Kind, Confirmation)> {
         let describe = move |copy: &Copy| Confirmation {
             last_change: copy.last_change,
-            age: now.since(copy.confirmed_at),
+            age: now.since(copy.own_confirmed_at),
         };
         self.copies.iter().map(move |(kind, copy)| (*kind, describe(copy)))
     }
--- a/crates/gateway/tests/testsuite/freshness.rs
+++ b/crates/gateway/tests/testsuite/freshness.rs
@@ -81,6 +81,24 @@
     assert!(table.overdue_at(Kind::Config, 1) > later(1_000));
 }
 
+#[test]
+fn a_copy_grows_old_while_peers_report_to_one_another_over_slow_links() {
+    let mut daemons = [table(), table()];
+    let mut in_transit: Vec<(Moment, usize, Confirmation)> = Vec::new();
+    for tick in 0..100 {
+        let now = later(tick * 50);
+        let arrived = in_transit.extract_if(.., |(at, _, _)| *at <= now).collect::<Vec<_>>();
+        for (_, to, confirmation) in arrived {
+            daemons[to].merge(Kind::Config, confirmation, now);
+        }
+        for (from, to) in [(0, 1), (1, 0)] {
+            let told = daemons[from].confirmations(now).map(|(_, confirmation)| confirmation);
+            in_transit.extend(told.map(|c| (now + Duration::from_millis(50), to, c)));
+        }
+    }
+    assert!(daemons.iter().all(|daemon| age_ms(daemon, later(5_000)) >= 4_900));
+}
+
 #[test]
 fn the_own_last_change_is_passed_on_with_its_age() {
     let mut table = table();
