--- a/crates/gateway/src/suspect/mod.rs
+++ b/crates/gateway/src/suspect/mod.rs
@@ -8,8 +8,8 @@
 //! far.
 //!
 //! Many requests run beside the one that crashes a server, so most blamed features are innocent.
-//! From [`CRASH_LIMIT`] crashes on a feature may be refused, and `rule::choose` picks the features that
-//! explain the crashes.
+//! From [`CRASH_LIMIT`] crashes on a feature may be refused, and `rule::choose` picks the features
+//! that explain the crashes.
 //!
 //! The records are sets of crashes, blamed and exonerated, that the daemons exchange and unite. A
 //! crash has the same identity at all daemons, so reports may come twice and in any order.
