--- a/crates/gateway/src/freshness/table.rs
+++ b/crates/gateway/src/freshness/table.rs
@@ -19,8 +19,9 @@
     since: Moment,
 }
 
+/// What is known of the copy of one kind.
 #[derive(Debug, Clone, Copy)]
-struct Copy {
+struct Entry {
     /// Revision of the last answer of the store.
     revision: Revision,
     last_change: Revision,
@@ -34,7 +35,7 @@
 /// The age of each copy of the store.
 #[derive(Debug, Default)]
 pub struct Table {
-    copies: BTreeMap<Kind, Copy>,
+    copies: BTreeMap<Kind, Entry>,
 }
 
 impl Table {
@@ -47,7 +48,7 @@
         last_change: Option<Revision>,
         at: Moment,
     ) {
-        let first = Copy {
+        let first = Entry {
             revision,
             last_change: revision,
             confirmed_at: at,
@@ -89,7 +90,7 @@
     /// Returns what to tell the peers. Only the store's own answers are passed on: what peers tell
     /// one another grows younger by the time that each report takes.
     pub fn confirmations(&self, now: Moment) -> impl Iterator<Item = (Kind, Confirmation)> {
-        let describe = move |copy: &Copy| Confirmation {
+        let describe = move |copy: &Entry| Confirmation {
             last_change: copy.last_change,
             age: now.since(copy.own_confirmed_at),
         };
