--- a/crates/gateway/src/freshness/question.rs
+++ b/crates/gateway/src/freshness/question.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::observe::Purpose;
+
 /// Interval at which the first daemon of the fleet confirms each copy.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(900);
 /// Wait of a watch whose answer is needed at once. The platform takes whole milliseconds.
@@ -28,6 +30,11 @@
     /// Question that the store answers at once.
     pub const AT_ONCE: Self = Self { wait: NO_WAIT, until_overdue: false };
 
+    /// Returns what the question is for, for the metrics.
+    pub fn purpose(&self) -> Purpose {
+        if self.wait <= CONFIRM_INTERVAL { Purpose::Confirm } else { Purpose::Watch }
+    }
+
     /// Question of the first daemon of the fleet, whose copy has this age.
     pub(super) fn of_first(age: Duration) -> Self {
         let wait = CONFIRM_INTERVAL.saturating_sub(age).max(NO_WAIT);
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -13,6 +13,7 @@
 
 use crate::freshness;
 use crate::health::Outcome;
+use crate::observe::StoreCall;
 
 /// Prefix of the name of each metric family.
 const PREFIX: &str = "kumquattiller_gateway";
@@ -21,6 +22,9 @@
 /// Number of latency buckets.
 const LATENCY_BUCKETS: u16 = 13;
 
+/// Labels of a call to the store.
+type CallLabels = [(&'static str, String); 3];
+
 /// A label and its value.
 type Label = [(&'static str, String); 1];
 
@@ -42,7 +46,7 @@
     servers: Gauge,
     peers: Gauge,
     in_flight: Gauge,
-    store_calls: Family<Label, Counter>,
+    store_calls: Family<CallLabels, Counter>,
     ages: Family<Label, Gauge<f64, AtomicU64>>,
 }
 
@@ -172,9 +176,14 @@
         self.first_event.observe(time.as_secs_f64());
     }
 
-    /// Counts a call to the store by its outcome.
-    pub fn store_call(&self, outcome: &str) {
-        self.store_calls.get_or_create(&[("outcome", outcome.to_owned())]).inc();
+    /// Counts a call to the store.
+    pub fn store_call(&self, call: StoreCall) {
+        let labels = [
+            ("kind", call.kind.to_string()),
+            ("purpose", call.purpose.to_string()),
+            ("outcome", call.outcome.to_string()),
+        ];
+        self.store_calls.get_or_create(&labels).inc();
     }
 
     /// Returns all metric families as text, including the current state of the gateway.
--- a/crates/gateway/src/observe/mod.rs
+++ b/crates/gateway/src/observe/mod.rs
@@ -2,7 +2,11 @@
 
 mod log;
 mod metrics;
+mod store_call;
 
 pub use log::init;
 pub use metrics::Metrics;
 pub use metrics::State;
+pub use store_call::CallOutcome;
+pub use store_call::Purpose;
+pub use store_call::StoreCall;
