--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod outcome;
 pub mod place;
 pub mod rate;
+pub mod rendezvous;
 pub mod request;
 pub mod runner;
 pub mod service;
--- a/crates/claims/src/preference.rs
+++ b/crates/claims/src/preference.rs
@@ -1,5 +1,5 @@
 use kumquattiller_base::daemon;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use kumquattiller_base::rendezvous::Job;
 
 use crate::shard::Number;
 
@@ -12,7 +12,6 @@
     shard: Number,
     daemons: impl IntoIterator<Item = &'a daemon::Id>,
 ) -> Option<&'a daemon::Id> {
-    let weight =
-        |daemon: &daemon::Id| xxh3_64_with_seed(daemon.as_str().as_bytes(), u64::from(shard.get()));
-    daemons.into_iter().max_by_key(|daemon| (weight(daemon), daemon.as_str()))
+    let job = Job::new(u64::from(shard.get()));
+    daemons.into_iter().max_by_key(|daemon| (job.weight(daemon.as_str()), daemon.as_str()))
 }
