gateway, platform: a few daemons of a zone watch the store; reports cross between zones once

Reports went from each daemon to each other one.

Change: - Two daemons of a zone, chosen by rendezvous hashing over the living ones, watch the store. They report a change at once; the others fetch it from one of them by its revision (peer::sync), and ask the store themselves if it has not come after 350 ms or if the copy is overdue. These bounds are as before, and the property of tests/freshness.rs holds for both roles. - While the store is away, a daemon whose copy is confirmed does not retry before it is overdue, and of the listeners a few at a time ask. - A daemon that finds its registration in the list does not write it again. - A report to another zone goes to one daemon there, a different one each time, which forwards it.

--- a/crates/gateway/src/fleet/table.rs
+++ b/crates/gateway/src/fleet/table.rs
@@ -158,6 +158,14 @@
         self.members.values().map(move |m| Server { draining: draining(m), ..m.server.clone() })
     }
 
+    /// Returns the servers whose registrations have not lapsed.
+    pub fn registered(&self) -> impl Iterator<Item = Server> {
+        let is_registered = |m: &&Member| !matches!(m.status, Status::Lapsed(_));
+        let draining = |m: &Member| m.status == Status::Draining;
+        let registered = self.members.values().filter(is_registered);
+        registered.map(move |m| Server { draining: draining(m), ..m.server.clone() })
+    }
+
     /// Returns the ids of all servers.
     pub fn ids(&self) -> impl Iterator<Item = &runner::Id> {
         self.members.keys()
--- a/crates/gateway/src/freshness/question.rs
+++ b/crates/gateway/src/freshness/question.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use crate::freshness::Role;
 use crate::observe::Purpose;
 
 /// Interval at which the first daemon of the fleet confirms each copy.
@@ -19,34 +20,42 @@
 
 /// How the store is asked for the changes of a kind.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Question {
-    /// Time for which the store may wait for a change before it answers.
-    pub wait: Duration,
-    /// Whether the question is given up when the copy is overdue.
-    pub until_overdue: bool,
+pub enum Question {
+    /// The store is asked.
+    Ask {
+        /// Time for which the store may wait for a change before it answers.
+        wait: Duration,
+        /// Whether the question is given up when the copy is overdue.
+        until_overdue: bool,
+    },
+    /// The store is not asked, since peers pass changes on, until the copy is overdue.
+    Listen,
 }
 
 impl Question {
     /// Question that the store answers at once.
-    pub const AT_ONCE: Self = Self { wait: NO_WAIT, until_overdue: false };
-
-    /// Returns what the question is for, for the metrics.
-    pub fn purpose(&self) -> Purpose {
-        if self.wait <= CONFIRM_INTERVAL { Purpose::Confirm } else { Purpose::Watch }
-    }
+    pub const AT_ONCE: Self = Self::Ask { wait: NO_WAIT, until_overdue: false };
 
     /// Question of the first daemon of the fleet, whose copy has this age.
     pub(super) fn of_first(age: Duration) -> Self {
         let wait = CONFIRM_INTERVAL.saturating_sub(age).max(NO_WAIT);
-        Self { wait, until_overdue: false }
+        Self::Ask { wait, until_overdue: false }
     }
 
     /// Question of a daemon whose copy peers confirm.
-    pub(super) const fn of_other() -> Self {
-        Self { wait: LONG_WAIT, until_overdue: true }
+    pub(super) const fn of_other(role: Role) -> Self {
+        match role {
+            Role::Watcher => Self::Ask { wait: LONG_WAIT, until_overdue: true },
+            Role::Listener => Self::Listen,
+        }
     }
 }
 
+/// Returns what a question with this wait is for.
+pub fn purpose(wait: Duration) -> Purpose {
+    if wait <= CONFIRM_INTERVAL { Purpose::Confirm } else { Purpose::Watch }
+}
+
 /// Returns the age from which a copy is overdue at a daemon with `rank` daemons before it.
 pub(super) fn overdue_age(rank: usize) -> Duration {
     OVERDUE_AGE + (TURN * rank as u32).min(MAX_TURNS)
--- a/crates/gateway/src/gateway/copies.rs
+++ b/crates/gateway/src/gateway/copies.rs
@@ -1,14 +1,35 @@
 //! The copies of the store that the daemon holds, and how old they are.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
 
+use kumquattiller_base::time::Moment;
 use log::info;
 
 use crate::Gateway;
+use crate::changes::Change;
+use crate::changes::Content;
+use crate::changes::Update;
+use crate::fleet;
 use crate::freshness;
 use crate::freshness::Confirmation;
+use crate::freshness::Effect;
 use crate::freshness::Kind;
 use crate::freshness::Question;
+use crate::freshness::Revision;
+use crate::freshness::Role;
+use crate::freshness::Source;
+use crate::peer;
+use crate::peer::Member;
+
+/// Interval at which a listener checks whether it has become a watcher.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Delay before the store is asked again after a failure, while peers confirm the copy.
+const CONFIRMED_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Number of peers that may ask the store once in a retry delay while it fails.
+const PEERS_PER_RETRY: usize = 6;
 
 impl Gateway {
     /// Returns how old the copies of the store are.
@@ -23,6 +44,11 @@
         age.map(|age| age.as_millis() as u64)
     }
 
+    /// Returns the revision up to which the copy of a kind is complete, or `None` without a copy.
+    pub fn copy_revision(&self, kind: Kind) -> Option<Revision> {
+        self.freshness.borrow().revision(kind)
+    }
+
     /// Returns whether a newer configuration may be in force elsewhere, since the store has not
     /// confirmed this one for too long.
     pub fn is_config_outdated(&self) -> bool {
@@ -30,21 +56,152 @@
         age.is_none_or(|age| age > self.settings.config_limit)
     }
 
-    /// Applies what a peer reports of its copy of a kind.
-    pub fn merge_confirmation(&self, kind: Kind, reported: Confirmation) {
-        let is_missing = self.freshness.borrow_mut().merge(kind, reported, self.now());
-        if is_missing {
-            info!(
-                target: "store", kind:%, change:% = reported.last_change, age_ms = self.age_ms(kind);
-                "a peer has seen a change that has not arrived here"
-            );
-            self.change_missed.notify_waiters();
+    /// Applies what the store or a peer says of the objects of a kind, unless the copy already
+    /// contains it. What the store says is reported to the peers at once if it is a change, or if
+    /// the copies of the peers are probably overdue as well.
+    pub fn apply_update(&self, update: Update) {
+        let kind = update.kind;
+        let before = self.copy_revision(kind);
+        if !update.fits(before) {
+            let revision = update.revision;
+            info!(target: "store", kind:%, source:% = update.source, revision:%; "outdated answer ignored");
+            return;
+        }
+        if kind == Kind::Servers {
+            self.record_fleet_answer();
+        }
+        self.apply_content(kind, &update.content, update.source);
+        self.histories.borrow_mut().entry(kind).or_default().record(&update);
+        let last_change = update.last_change();
+        let was_overdue = self.freshness.borrow().overdue_at(kind, 0) <= self.now();
+        self.freshness.borrow_mut().confirm(
+            kind,
+            update.revision,
+            last_change,
+            update.shown_at,
+            update.source,
+        );
+        let is_new = before.is_some() && last_change > before;
+        if update.source == Source::Store && (is_new || was_overdue) {
+            self.request_report();
+        }
+    }
+
+    fn apply_content(&self, kind: Kind, content: &Content, source: Source) {
+        match (kind, content) {
+            (Kind::Servers, Content::Complete(objects)) => self.replace_servers(objects),
+            (Kind::Daemons, Content::Complete(objects)) => self.replace_daemons(objects),
+            (_, Content::Complete(objects)) => {
+                objects.iter().for_each(|change| self.apply_change(change, source));
+            }
+            (_, Content::Since(_, changes)) => {
+                changes.iter().for_each(|(_, change)| self.apply_change(change, source));
+            }
+        }
+    }
+
+    fn apply_change(&self, change: &Change, source: Source) {
+        match change {
+            Change::Config(document) => self.update_config(document.clone(), source),
+            Change::Server(server) => {
+                let effect = self.fleet.borrow_mut().put(server.clone());
+                self.apply_server_change(&server.id, effect);
+            }
+            Change::ServerRemoved(id) => {
+                let effect = self.fleet.borrow_mut().remove(id, self.now());
+                self.apply_server_change(id, effect);
+            }
+            Change::Daemon(member) => self.peers.borrow_mut().put(member, &self.settings.name),
+            Change::DaemonRemoved(id) if *id == self.settings.name => self.set_registered(false),
+            Change::DaemonRemoved(id) => self.peers.borrow_mut().remove(id),
+        }
+    }
+
+    fn replace_servers(&self, objects: &[Change]) {
+        let servers: Vec<fleet::Server> = objects.iter().filter_map(Change::server).collect();
+        let effects = self.fleet.borrow_mut().replace(servers, self.now());
+        for (id, effect) in effects {
+            self.apply_server_change(&id, effect);
+        }
+        self.set_fleet_loaded();
+    }
+
+    fn replace_daemons(&self, objects: &[Change]) {
+        let members: Vec<Member> = objects.iter().filter_map(Change::member).collect();
+        self.set_registered(members.contains(&self.settings.member()));
+        self.peers.borrow_mut().replace(&members, &self.settings.name);
+    }
+
+    /// Returns what a peer lacks whose copy of a kind is complete up to `from`, or `None` if this
+    /// daemon has no copy.
+    pub fn changes_since(&self, kind: Kind, from: Option<Revision>) -> Option<peer::Response> {
+        let now = self.now();
+        let age = self.freshness.borrow().age(kind, now)?;
+        let revision = self.copy_revision(kind)?;
+        let histories = self.histories.borrow();
+        let since = |from: Revision| Some(Content::Since(from, histories.get(&kind)?.since(from)?));
+        let content = from.and_then(since).unwrap_or_else(|| self.all_objects(kind));
+        let update = Update { kind, source: Source::Peer, content, revision, shown_at: now };
+        Some(peer::Response::from(&update).with_age(age))
+    }
+
+    fn all_objects(&self, kind: Kind) -> Content {
+        let objects = match kind {
+            Kind::Config => vec![Change::Config(self.document.borrow().clone())],
+            Kind::Servers => self.fleet.borrow().registered().map(Change::Server).collect(),
+            Kind::Daemons => {
+                let own = std::iter::once(self.settings.member());
+                own.chain(self.peers.borrow().members()).map(Change::Daemon).collect()
+            }
+        };
+        Content::Complete(objects)
+    }
+
+    /// Applies what a peer reports of its copy of a kind, and fetches the changes that this
+    /// daemon's copy turns out to lack.
+    pub fn merge_confirmation(self: &Rc<Self>, kind: Kind, reported: Confirmation) {
+        let now = self.now();
+        let effect = self.freshness.borrow_mut().merge(kind, reported, now);
+        match effect {
+            Effect::None => {}
+            Effect::Confirmed(silence) => self.end_silence(kind, silence, now),
+            Effect::Missing => {
+                info!(
+                    target: "store", kind:%, change:% = reported.last_change, age_ms = self.age_ms(kind);
+                    "a peer has seen a change that has not arrived here"
+                );
+                self.change_missed.notify_waiters();
+                peer::fetch_changes(self, kind, reported.last_change);
+            }
         }
     }
 
+    /// Records that the process did not run for `time`: all copies may be that much older.
+    pub fn record_pause(&self, time: Duration) {
+        self.freshness.borrow_mut().add_age(time);
+        self.change_missed.notify_waiters();
+    }
+
+    /// Returns whether the store has the registration of this daemon, as far as known.
+    pub fn is_registered(&self) -> bool {
+        self.registered.get()
+    }
+
+    /// Records whether the store has the registration of this daemon.
+    pub fn set_registered(&self, registered: bool) {
+        self.registered.set(registered);
+    }
+
+    /// Returns the addresses of the peers that pass on a change of a kind.
+    pub fn holders(&self, kind: Kind, change: Revision) -> Vec<SocketAddr> {
+        let zone = self.settings.zone.as_ref();
+        self.peers.borrow().holders(kind, change, zone, self.now())
+    }
+
     /// Returns how to ask the store for the changes of a kind.
     pub fn next_question(&self, kind: Kind) -> Question {
-        self.freshness.borrow().question(kind, self.rank(), self.now())
+        let role = self.role();
+        self.freshness.borrow().question(kind, self.rank(), role, self.now())
     }
 
     /// Waits until the copy of a kind is overdue.
@@ -62,15 +219,75 @@
         }
     }
 
+    /// Waits until this daemon is no longer a listener, the copy of a kind is overdue, or the store
+    /// has lost the registration of this daemon.
+    pub async fn wait_while_listening(&self, kind: Kind) {
+        let changed = async {
+            while self.role() == Role::Listener && self.is_registered() {
+                tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+            }
+        };
+        tokio::select! {
+            () = changed => {}
+            () = self.wait_until_overdue(kind) => {}
+        }
+    }
+
+    /// Waits until a peer reports a change of any kind that this daemon lacks.
+    pub async fn wait_until_change_missed(&self) {
+        self.change_missed.notified().await;
+    }
+
+    /// Waits before the store is asked again about a kind after a failure, for `delay` or longer.
+    ///
+    /// A daemon whose copy peers confirm waits until it is overdue. Of many listeners whose copies
+    /// are overdue only a few ask in each `delay`, since the answer to any of them helps all. A
+    /// change that a peer reports ends the wait.
+    pub async fn wait_before_retry(&self, kind: Kind, delay: Duration) {
+        let is_overdue = self.freshness.borrow().overdue_at(kind, self.rank()) <= self.now();
+        let limit = match (is_overdue, self.role()) {
+            (false, _) => CONFIRMED_RETRY_DELAY,
+            (true, Role::Watcher) => delay,
+            (true, Role::Listener) => delay * (self.peers_alive() / PEERS_PER_RETRY).max(1) as u32,
+        };
+        tokio::select! {
+            () = tokio::time::sleep(limit.mul_f64(0.5 + rand::random::<f64>())) => {}
+            () = self.wait_until_overdue(kind), if !is_overdue => {}
+            () = self.change_missed.notified(), if is_overdue => {}
+        }
+    }
+
     /// Records that the store answered a request about the backend servers, before the answer is
     /// applied.
-    pub fn record_fleet_answer(&self) {
+    fn record_fleet_answer(&self) {
         let now = self.now();
         if let Some(silence) = self.freshness.borrow().age(Kind::Servers, now) {
             self.fleet.borrow_mut().store_responded(silence, now);
         }
     }
 
+    /// Records that a peer has confirmed a copy that was not confirmed for `silence`.
+    fn end_silence(&self, kind: Kind, silence: Duration, now: Moment) {
+        if kind == Kind::Servers {
+            self.fleet.borrow_mut().store_responded(silence, now);
+        }
+    }
+
+    /// Returns how this daemon learns of changes in the store. Logs each change of the role.
+    pub fn role(&self) -> Role {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let role = match &self.settings.zone {
+            Some(zone) => Role::of(&self.settings.name, peers.sources(zone, now)),
+            None => Role::Watcher,
+        };
+        if self.role.replace(Some(role)) != Some(role) {
+            let alive = peers.alive(now);
+            info!(target: "store", role:%, alive; "the role towards the store has changed");
+        }
+        role
+    }
+
     /// Returns how many living peers come before this daemon in the order of names.
     fn rank(&self) -> usize {
         self.peers.borrow().rank(&self.settings.name, self.now())
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -1,5 +1,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::budget::Budget;
+use crate::changes::History;
 use crate::config::Config;
 use crate::config::Version;
 use crate::dialect::Dialect;
@@ -54,6 +56,10 @@
     pub(super) fleet: RefCell<fleet::Table>,
     pub(super) fleet_loaded: Cell<bool>,
     pub(super) freshness: RefCell<freshness::Table>,
+    /// How this daemon learns of changes in the store, as last determined.
+    pub(super) role: Cell<Option<freshness::Role>>,
+    /// The last changes of each kind, for the peers.
+    pub(super) histories: RefCell<BTreeMap<freshness::Kind, History>>,
     /// Wakes the watches when a peer has seen a change that a copy lacks.
     pub(super) change_missed: Notify,
     /// Wakes waiting requests when the configuration or the servers have been loaded.
@@ -65,6 +71,8 @@
     pub(super) suspects: RefCell<Suspects>,
     pub(super) budgets: RefCell<HashMap<service::Name, Budget>>,
     pub(super) peers: RefCell<peer::Table>,
+    /// Whether the store has the registration of this daemon.
+    pub(super) registered: Cell<bool>,
     pub(super) fetching: Cell<bool>,
     /// Number of callers' open connections on which a request has arrived.
     pub(crate) active_connections: Cell<usize>,
@@ -96,6 +104,8 @@
             fleet: RefCell::default(),
             fleet_loaded: Cell::new(false),
             freshness: RefCell::default(),
+            role: Cell::new(None),
+            histories: RefCell::default(),
             change_missed: Notify::new(),
             data_loaded: Notify::new(),
             ledger: RefCell::default(),
@@ -104,6 +114,7 @@
             suspects: RefCell::default(),
             budgets: RefCell::default(),
             peers: RefCell::default(),
+            registered: Cell::new(false),
             fetching: Cell::new(false),
             active_connections: Cell::new(0),
             report_requested: Notify::new(),
@@ -284,6 +295,7 @@
             servers: self.fleet.borrow().len(),
             peers: self.peers_alive(),
             in_flight: self.ledger.borrow().len(),
+            role: self.role.get(),
             ages: freshness::Kind::iter().filter_map(|kind| Some((kind, age(kind)?))).collect(),
         })
     }
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -13,17 +13,17 @@
 use crate::Gateway;
 use crate::fleet;
 use crate::fleet::Change;
+use crate::freshness::Source;
 use crate::peer;
 use crate::stop::Phase;
 
 impl Gateway {
-    /// Applies a configuration if it is newer than the current one. `source` states for the log
-    /// where it came from.
-    pub fn update_config(&self, document: Bytes, source: &str) {
+    /// Applies a configuration if it is newer than the current one. `source` is for the log.
+    pub fn update_config(&self, document: Bytes, source: Source) {
         let config = match self.dialect.config(&document) {
             Ok(config) => config,
             Err(reason) => {
-                error!(target: "config", source, reason:%; "invalid configuration ignored");
+                error!(target: "config", source:%, reason:%; "invalid configuration ignored");
                 return;
             }
         };
@@ -32,7 +32,7 @@
             return;
         }
         info!(
-            target: "config", version:% = new, old:%, source, routes = config.route_count();
+            target: "config", version:% = new, old:%, source:%, routes = config.route_count();
             "configuration in force"
         );
         *self.document.borrow_mut() = document;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,10 +6,12 @@
 //! servers. This package does the rest:
 //!
 //! - decisions without I/O: [`config`] (routes, client accounts, versions), [`fleet`] (which
-//!   servers may get work), [`freshness`] (how old the copies of the store are), [`engine`] (prefill times of prompts), [`load`] (requests in flight per
+//!   servers may get work), [`freshness`] (how old the copies of the store are), [`changes`] (what
+//!   the copies lack), [`engine`] (prefill times of prompts), [`load`] (requests in flight per
 //!   server), [`placement`] (choice of server and helpers, or a refusal), [`budget`] (retries),
 //!   [`health`] (failing servers), [`suspect`] (requests that crash servers), [`events`] (splitting
-//!   streams into events), [`stop`] (phases of a graceful stop);
+//!   streams into events), [`stop`] (phases of a graceful stop), [`pause`] (times in which the
+//!   process did not run);
 //! - I/O: [`http`] (the listener, connections to servers, handling of a request), [`relay`]
 //!   (streams), [`reservation`] (server memory reserved for large prompts), [`peer`] (reports
 //!   between daemons), [`observe`] (logs and metrics).
@@ -22,6 +24,7 @@
 //! borrow is held across an `await`.
 
 pub mod budget;
+pub mod changes;
 pub mod config;
 pub mod dialect;
 pub mod engine;
@@ -33,6 +36,7 @@
 pub mod http;
 pub mod load;
 pub mod observe;
+pub mod pause;
 pub mod peer;
 pub mod placement;
 pub mod relay;
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::Unit;
 
 use crate::freshness;
+use crate::freshness::Role;
 use crate::health::Outcome;
 use crate::observe::StoreCall;
 
@@ -47,6 +48,7 @@
     peers: Gauge,
     in_flight: Gauge,
     store_calls: Family<CallLabels, Counter>,
+    store_watcher: Gauge,
     ages: Family<Label, Gauge<f64, AtomicU64>>,
 }
 
@@ -73,6 +75,7 @@
             peers: Gauge::default(),
             in_flight: Gauge::default(),
             store_calls: Family::default(),
+            store_watcher: Gauge::default(),
             ages: Family::default(),
         };
         metrics.register();
@@ -117,6 +120,11 @@
         registry.register("peers", "Other daemons alive", self.peers.clone());
         registry.register("in_flight", "Requests at servers", self.in_flight.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register(
+            "store_watcher",
+            "Whether the daemon watches the store for its peers",
+            self.store_watcher.clone(),
+        );
         registry.register_with_unit(
             "state_age",
             "Time since the store last confirmed what the daemon holds, by kind",
@@ -192,6 +200,7 @@
         self.servers.set(state.servers as i64);
         self.peers.set(state.peers as i64);
         self.in_flight.set(state.in_flight as i64);
+        self.store_watcher.set(i64::from(state.role == Some(Role::Watcher)));
         for (kind, age) in state.ages {
             let label = [("kind", kind.to_string())];
             self.ages.get_or_create(&label).set(age.as_secs_f64());
@@ -215,6 +224,8 @@
     pub peers: usize,
     /// Requests at servers.
     pub in_flight: usize,
+    /// How the daemon learns of changes in the store, if that is known yet.
+    pub role: Option<Role>,
     /// Ages of the copies of the store that were ever confirmed.
     pub ages: Vec<(freshness::Kind, Duration)>,
 }
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -2,16 +2,23 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
 
+use kumquattiller_base::daemon;
+use kumquattiller_base::time::Moment;
 use log::warn;
 use prost::Message;
 use tokio::net::UdpSocket;
 
 use crate::Gateway;
+use crate::freshness;
 use crate::load::Demand;
 use crate::load::server_key;
+use crate::pause;
 use crate::peer::Load;
+use crate::peer::Recipients;
 use crate::peer::Report;
+use crate::peer::Serial;
 use crate::peer::fetch;
 use crate::stop::Phase;
 use crate::suspect;
@@ -38,19 +45,25 @@
     let mut sequence = 0;
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut next = tokio::time::Instant::now();
+    let mut pauses = pause::Detector::new(tokio::time::Instant::now(), SystemTime::now());
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => handle_datagram(&gateway, &buffer[..length], from),
+                Ok((length, from)) => {
+                    if !detect_pause(&gateway, &socket, &mut pauses) {
+                        handle_datagram(&gateway, &socket, &buffer[..length], from);
+                    }
+                }
                 Err(error) => warn!(target: "peer", error:%; "failed to receive a datagram"),
             },
             () = gateway.wait_for_report_request() => {
                 sequence += 1;
-                send_reports(&gateway, &socket, incarnation, sequence).await;
+                send_reports(&gateway, &socket, Serial { incarnation, sequence });
             }
             () = tokio::time::sleep_until(next) => {
+                detect_pause(&gateway, &socket, &mut pauses);
                 sequence += 1;
-                send_reports(&gateway, &socket, incarnation, sequence).await;
+                send_reports(&gateway, &socket, Serial { incarnation, sequence });
                 let peers = gateway.peers().borrow().len();
                 next = tokio::time::Instant::now() + interval(peers);
             }
@@ -58,26 +71,61 @@
     }
 }
 
+/// Returns whether the process did not run for a while. Reports that arrived in that time are
+/// discarded, because their ages are counted from the moment at which they are read.
+fn detect_pause(gateway: &Gateway, socket: &UdpSocket, pauses: &mut pause::Detector) -> bool {
+    let Some(time) = pauses.check(tokio::time::Instant::now(), SystemTime::now()) else {
+        return false;
+    };
+    gateway.record_pause(time);
+    let mut discarded = 0;
+    while socket.try_recv(&mut [0]).is_ok() {
+        discarded += 1;
+    }
+    let ms = time.as_millis() as u64;
+    warn!(target: "process", ms, discarded; "did not run, or the time of day has jumped");
+    true
+}
+
 /// Returns the interval between the regular reports of a daemon that has this many peers.
 pub fn interval(peers: usize) -> Duration {
     (INTERVAL_PER_PEER * peers as u32).clamp(MIN_INTERVAL, MAX_INTERVAL)
 }
 
-async fn send_reports(gateway: &Gateway, socket: &UdpSocket, incarnation: u64, sequence: u64) {
-    let addresses = gateway.peers().borrow_mut().take_due(gateway.now());
-    if addresses.is_empty() {
+fn send_reports(gateway: &Gateway, socket: &UdpSocket, serial: Serial) {
+    let zone = gateway.settings().zone.as_ref();
+    let now = gateway.now();
+    let recipients = gateway.peers().borrow_mut().take_due(zone, serial.sequence, now);
+    if recipients == Recipients::default() {
         return;
     }
-    let report = report(gateway, incarnation, sequence).encode_to_vec();
-    for address in addresses {
-        // A datagram that cannot be sent is treated like one that is lost.
-        if let Err(error) = socket.try_send_to(&report, address) {
+    let mut report = report(gateway, serial);
+    send(socket, &report, &recipients.direct);
+    report.forward = true;
+    send(socket, &report, &recipients.forwarding);
+}
+
+/// Sends a report to some peers. A datagram that cannot be sent is treated like one that is lost.
+fn send(socket: &UdpSocket, report: &Report, peers: &[SocketAddr]) {
+    let bytes = report.encode_to_vec();
+    for address in peers {
+        if let Err(error) = socket.try_send_to(&bytes, *address) {
             log::debug!(target: "peer", error:%, address:%; "failed to send a report");
         }
     }
 }
 
-fn report(gateway: &Gateway, incarnation: u64, sequence: u64) -> Report {
+/// Forwards a report to the other daemons of this availability zone.
+fn forward(gateway: &Gateway, socket: &UdpSocket, report: Report, origin: SocketAddr) {
+    let Some(zone) = &gateway.settings().zone else {
+        return;
+    };
+    let neighbours = gateway.peers().borrow().neighbours(zone, gateway.now());
+    let report = Report { forward: false, origin: Some(origin.to_string()), ..report };
+    send(socket, &report, &neighbours);
+}
+
+fn report(gateway: &Gateway, serial: Serial) -> Report {
     let now = gateway.now();
     let ledger = gateway.ledger().borrow();
     let loads = ledger.report().map(|(server, reported)| Load::of(server, &reported)).collect();
@@ -87,8 +135,8 @@
         demand_long_ms: demand.long_ms_per_s as f32,
         demand_short: demand.short_per_s as f32,
         daemon: gateway.settings().name.to_string(),
-        sequence,
-        incarnation,
+        sequence: serial.sequence,
+        incarnation: serial.incarnation,
         version: gateway.version().get(),
         loads,
         stopping: gateway.phase() != Phase::Serving,
@@ -96,11 +144,13 @@
         leaving: gateway.fleet().borrow().draining_keys(),
         confirmations: gateway.freshness().borrow().confirmations(now).map(Into::into).collect(),
         suspects: suspects.into_iter().map(Into::into).collect(),
+        forward: false,
+        origin: None,
     }
 }
 
-/// Decodes a report from a peer and applies it.
-fn handle_datagram(gateway: &Rc<Gateway>, bytes: &[u8], from: SocketAddr) {
+/// Decodes a report from a peer, applies it, and forwards it if the peer asks for that.
+fn handle_datagram(gateway: &Rc<Gateway>, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
     let report = match Report::decode(bytes) {
         Ok(report) => report,
         Err(error) => {
@@ -112,24 +162,40 @@
         warn!(target: "peer", from:%; "received a report without a valid daemon name");
         return;
     };
+    let Ok(from) = report.origin.as_deref().map_or(Ok(from), str::parse) else {
+        warn!(target: "peer", from:%; "received a report whose origin is not an address");
+        return;
+    };
     let now = gateway.now();
     let is_newest = gateway.peers().borrow_mut().record_report(
         &id,
         from,
-        report.incarnation,
-        report.sequence,
+        Serial { incarnation: report.incarnation, sequence: report.sequence },
         now,
     );
     if !is_newest {
         return;
     }
-    gateway.peers().borrow_mut().set_stopping(&id, report.stopping);
+    apply_report(gateway, &id, &report, from, now);
+    if report.forward {
+        forward(gateway, socket, report, from);
+    }
+}
+
+fn apply_report(
+    gateway: &Rc<Gateway>,
+    id: &daemon::Id,
+    report: &Report,
+    from: SocketAddr,
+    now: Moment,
+) {
+    gateway.peers().borrow_mut().set_stopping(id, report.stopping);
     let loads = report.loads.iter().map(|load| (load.server, load.into())).collect();
     let demand = Demand {
         long_ms_per_s: f64::from(report.demand_long_ms),
         short_per_s: f64::from(report.demand_short),
     };
-    gateway.ledger().borrow_mut().update_peer(id, demand, loads, now);
+    gateway.ledger().borrow_mut().update_peer(id.clone(), demand, loads, now);
     let suspects: Vec<suspect::Report> = report.suspects.iter().map(Into::into).collect();
     gateway.suspects().borrow_mut().merge(&suspects, now);
     for id in gateway.fleet().borrow_mut().mark_draining(&report.leaving) {
@@ -141,7 +207,11 @@
     gateway.mark_reported_unusable_helpers(&report.unusable_helpers);
     for confirmation in &report.confirmations {
         match confirmation.kind().try_into() {
-            Ok(kind) => gateway.merge_confirmation(kind, confirmation.into()),
+            Ok(kind) => {
+                let confirmation = confirmation.into();
+                record_last_change(gateway, id, kind, &confirmation);
+                gateway.merge_confirmation(kind, confirmation);
+            }
             Err(reason) => log::debug!(target: "peer", reason:%, from:%; "skipped a confirmation"),
         }
     }
@@ -149,3 +219,14 @@
         fetch::start(gateway, from);
     }
 }
+
+/// Records what a peer has, so that it can be asked for it.
+fn record_last_change(
+    gateway: &Gateway,
+    peer: &daemon::Id,
+    kind: freshness::Kind,
+    confirmation: &freshness::Confirmation,
+) {
+    let change = confirmation.last_change;
+    gateway.peers().borrow_mut().record_last_change(peer, kind, change);
+}
--- a/crates/gateway/src/peer/fetch.rs
+++ b/crates/gateway/src/peer/fetch.rs
@@ -16,6 +16,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::Gateway;
+use crate::freshness::Source;
 use crate::http::dial;
 use crate::peer::Document;
 
@@ -51,7 +52,7 @@
                 target: "config", peer:%, version = document.version;
                 "fetched the configuration from a peer"
             );
-            gateway.update_config(document.body, "peer");
+            gateway.update_config(document.body, Source::Peer);
             gateway.load_fleet_from_peer(&document.servers);
         }
         Ok(Err(error)) => warn!(target: "config", peer:%, error:%; "failed to fetch from a peer"),
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -96,6 +96,12 @@
     /// Time since the store confirmed this, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
+    /// Era of both revisions.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
+    /// Revision up to which the copy is complete; 0 if the sender does not state it.
+    #[prost(uint64, tag = "5")]
+    pub revision: u64,
 }
 
 /// Kind of objects in the store.
@@ -152,6 +158,12 @@
     /// What it knows of the store.
     #[prost(message, repeated, tag = "12")]
     pub confirmations: Vec<Confirmation>,
+    /// Whether the receiver is to forward the report to the other daemons of its availability zone.
+    #[prost(bool, tag = "13")]
+    pub forward: bool,
+    /// Address of the daemon, if another one has forwarded the report.
+    #[prost(string, optional, tag = "14")]
+    pub origin: Option<String>,
 }
 
 /// The state that a daemon sends to a peer that cannot get it from the store.
@@ -193,7 +205,9 @@
 
 /// Error for a message field that cannot be parsed.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Unreadable(String);
+pub struct Unreadable(pub(super) String);
+
+impl std::error::Error for Unreadable {}
 
 impl std::fmt::Display for Unreadable {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -255,16 +269,21 @@
     fn from((kind, confirmation): (freshness::Kind, freshness::Confirmation)) -> Self {
         Self {
             kind: Kind::from(kind).into(),
-            last_change: confirmation.last_change.get(),
+            last_change: confirmation.last_change.number(),
             age_ms: u32::try_from(confirmation.age.as_millis()).unwrap_or(u32::MAX),
+            era: confirmation.revision.era().get(),
+            revision: confirmation.revision.number(),
         }
     }
 }
 
 impl From<&Confirmation> for freshness::Confirmation {
     fn from(confirmation: &Confirmation) -> Self {
+        let era = freshness::Era::new(confirmation.era);
+        let last_change = freshness::Revision::of(era, confirmation.last_change);
         Self {
-            last_change: freshness::Revision::new(confirmation.last_change),
+            last_change,
+            revision: freshness::Revision::of(era, confirmation.revision).max(last_change),
             age: Duration::from_millis(confirmation.age_ms.into()),
         }
     }
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -3,8 +3,13 @@
 use std::time::Duration;
 
 use kumquattiller_base::daemon;
+use kumquattiller_base::place::Zone;
 use kumquattiller_base::time::Moment;
 
+use crate::freshness::Kind;
+use crate::freshness::Revision;
+use crate::peer::Member;
+
 /// Time after its last report until which a peer counts as alive.
 const ALIVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval between reports to a peer that is not alive.
@@ -12,15 +17,36 @@
 /// Time for which an unregistered peer is kept after its last report.
 const RETENTION: Duration = Duration::from_secs(30);
 
+/// Identifies a report: the run of the daemon that sent it, and its number there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Serial {
+    /// Random number that identifies the run of the daemon.
+    pub incarnation: u64,
+    /// Number of the report, which rises within a run.
+    pub sequence: u64,
+}
+
+/// The peers to which a report is sent.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Recipients {
+    /// Those that get it for themselves.
+    pub direct: Vec<SocketAddr>,
+    /// Those that also forward it to the other daemons of their availability zones.
+    pub forwarding: Vec<SocketAddr>,
+}
+
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
+    zone: Option<Zone>,
+    changes: Option<SocketAddr>,
     registered: bool,
     last_heard: Option<Moment>,
     last_report_sent: Option<Moment>,
-    incarnation: u64,
-    sequence: u64,
+    serial: Option<Serial>,
     stopping: bool,
+    /// Last change of each kind that the peer has reported.
+    last_changes: BTreeMap<Kind, Revision>,
 }
 
 /// The other daemons: those registered in the store and those that have sent a report.
@@ -30,23 +56,35 @@
 }
 
 impl Table {
-    /// Updates the registered daemons. `own` is this daemon and is left out. If `is_complete`,
-    /// daemons that are not listed are no longer registered.
-    pub fn register(
-        &mut self,
-        daemons: &[(daemon::Id, SocketAddr)],
-        own: &daemon::Id,
-        is_complete: bool,
-    ) {
-        for peer in self.peers.values_mut().filter(|_| is_complete) {
+    /// Replaces the registered daemons. `own` is this daemon and is left out.
+    pub fn replace(&mut self, members: &[Member], own: &daemon::Id) {
+        for peer in self.peers.values_mut() {
             peer.registered = false;
         }
-        for (id, address) in daemons.iter().filter(|(id, _)| id != own) {
-            let peer = self.peers.entry(id.clone()).or_insert_with(|| Peer::new(*address));
-            peer.registered = true;
-            if peer.last_heard.is_none() {
-                peer.address = *address;
-            }
+        for member in members {
+            self.put(member, own);
+        }
+    }
+
+    /// Adds or updates a registered daemon. `own` is this daemon and is left out.
+    pub fn put(&mut self, member: &Member, own: &daemon::Id) {
+        if member.id == *own {
+            return;
+        }
+        let new = || Peer::new(member.address);
+        let peer = self.peers.entry(member.id.clone()).or_insert_with(new);
+        peer.registered = true;
+        peer.zone = member.zone.clone();
+        peer.changes = member.changes;
+        if peer.last_heard.is_none() {
+            peer.address = member.address;
+        }
+    }
+
+    /// Records that the registration of a daemon was removed. It is kept while it sends reports.
+    pub fn remove(&mut self, id: &daemon::Id) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.registered = false;
         }
     }
 
@@ -55,35 +93,90 @@
         &mut self,
         id: &daemon::Id,
         address: SocketAddr,
-        incarnation: u64,
-        sequence: u64,
+        serial: Serial,
         now: Moment,
     ) -> bool {
         let peer = self.peers.entry(id.clone()).or_insert_with(|| Peer::new(address));
-        if peer.incarnation == incarnation && sequence <= peer.sequence {
+        let same_run = peer.serial.filter(|last| last.incarnation == serial.incarnation);
+        if same_run.is_some_and(|last| serial.sequence <= last.sequence) {
             return false;
         }
         peer.address = address;
-        peer.incarnation = incarnation;
-        peer.sequence = sequence;
+        peer.serial = Some(serial);
         peer.last_heard = Some(now);
         true
     }
 
-    /// Returns the addresses to which a report is due and marks them as sent.
-    pub fn take_due(&mut self, now: Moment) -> Vec<SocketAddr> {
+    /// Records the last change of a kind that a peer has reported.
+    pub fn record_last_change(&mut self, id: &daemon::Id, kind: Kind, change: Revision) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.last_changes.insert(kind, change);
+        }
+    }
+
+    /// Returns the living peers that have a change and pass it on: those of the availability zone
+    /// `zone`, or all if there are none.
+    pub fn holders(
+        &self,
+        kind: Kind,
+        change: Revision,
+        zone: Option<&Zone>,
+        now: Moment,
+    ) -> Vec<SocketAddr> {
+        let holds = |p: &&Peer| p.last_changes.get(&kind).is_some_and(|c| *c >= change);
+        let holders: Vec<&Peer> =
+            self.peers.values().filter(|p| p.is_alive(now)).filter(holds).collect();
+        let addresses = |near: bool| -> Vec<SocketAddr> {
+            let chosen = holders.iter().filter(|p| !near || p.zone.as_ref() == zone);
+            chosen.filter_map(|p| p.changes).collect()
+        };
+        let near = addresses(true);
+        if near.is_empty() { addresses(false) } else { near }
+    }
+
+    /// Returns the registered daemons.
+    pub fn members(&self) -> impl Iterator<Item = Member> {
+        self.peers.iter().filter(|(_, p)| p.registered).map(|(id, p)| p.member(id))
+    }
+
+    /// Returns to whom a report is sent now, and marks them as sent. `zone` is that of this daemon.
+    ///
+    /// Living peers of another availability zone get the report from one of them, chosen by
+    /// `sequence`, so that it crosses between the zones once. All others get it directly: those of
+    /// the own zone, those that cannot forward, and once in [`SILENT_INTERVAL`] those that are not
+    /// alive.
+    pub fn take_due(&mut self, zone: Option<&Zone>, sequence: u64, now: Moment) -> Recipients {
         self.peers
             .retain(|_, p| p.registered || p.last_heard.is_some_and(|h| now.since(h) < RETENTION));
-        let mut due = Vec::new();
+        let mut recipients = Recipients::default();
+        let mut remote: BTreeMap<Zone, Vec<SocketAddr>> = BTreeMap::new();
         for peer in self.peers.values_mut() {
             let interval_elapsed =
                 peer.last_report_sent.is_none_or(|at| now.since(at) >= SILENT_INTERVAL);
-            if peer.is_alive(now) || interval_elapsed {
-                peer.last_report_sent = Some(now);
-                due.push(peer.address);
+            if !peer.is_alive(now) && !interval_elapsed {
+                continue;
+            }
+            peer.last_report_sent = Some(now);
+            let other_zone = peer.zone.as_ref().filter(|z| zone.is_some() && Some(*z) != zone);
+            match other_zone.filter(|_| peer.is_alive(now) && peer.changes.is_some()) {
+                Some(zone) => remote.entry(zone.clone()).or_default().push(peer.address),
+                None => recipients.direct.push(peer.address),
+            }
+        }
+        for peers in remote.into_values() {
+            let chosen = peers[(sequence % peers.len() as u64) as usize];
+            match peers.len() {
+                1 => recipients.direct.push(chosen),
+                _ => recipients.forwarding.push(chosen),
             }
         }
-        due
+        recipients
+    }
+
+    /// Returns the living peers of an availability zone, to which a report is forwarded.
+    pub fn neighbours(&self, zone: &Zone, now: Moment) -> Vec<SocketAddr> {
+        let is_neighbour = |p: &&Peer| p.is_alive(now) && p.zone.as_ref() == Some(zone);
+        self.peers.values().filter(is_neighbour).map(|p| p.address).collect()
     }
 
     /// Records whether a peer is stopping.
@@ -98,6 +191,18 @@
         self.peers.values().any(|p| p.is_alive(now) && !p.stopping)
     }
 
+    /// Returns the living peers of an availability zone that pass changes on and are not stopping.
+    pub fn sources<'a>(
+        &'a self,
+        zone: &'a Zone,
+        now: Moment,
+    ) -> impl Iterator<Item = &'a daemon::Id> {
+        let is_source = move |p: &Peer| {
+            p.is_alive(now) && !p.stopping && p.changes.is_some() && p.zone.as_ref() == Some(zone)
+        };
+        self.peers.iter().filter(move |(_, p)| is_source(p)).map(|(id, _)| id)
+    }
+
     /// Returns how many living peers come before `own` in the order of names.
     pub fn rank(&self, own: &daemon::Id, now: Moment) -> usize {
         self.peers.range(..own.clone()).filter(|(_, p)| p.is_alive(now)).count()
@@ -123,12 +228,23 @@
     const fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            zone: None,
+            changes: None,
             registered: false,
             last_heard: None,
             last_report_sent: None,
-            incarnation: 0,
-            sequence: 0,
+            serial: None,
             stopping: false,
+            last_changes: BTreeMap::new(),
+        }
+    }
+
+    fn member(&self, id: &daemon::Id) -> Member {
+        Member {
+            id: id.clone(),
+            address: self.address,
+            zone: self.zone.clone(),
+            changes: self.changes,
         }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use kumquattiller_base::daemon;
+use kumquattiller_base::place::Zone;
 
 use crate::budget;
+use crate::peer::Member;
 
 /// The settings of one daemon.
 #[derive(Debug, Clone, PartialEq)]
@@ -16,8 +18,12 @@
     pub listen: SocketAddr,
     /// Address of the readiness check for the load balancer.
     pub ready: SocketAddr,
-    /// Address for other daemons, over UDP and TCP.
+    /// Address for reports and documents of other daemons, over UDP and TCP.
     pub peer: SocketAddr,
+    /// Address at which other daemons ask for changes, over TCP.
+    pub changes: SocketAddr,
+    /// The availability zone, if the platform states it.
+    pub zone: Option<Zone>,
     /// Address at which metrics are served.
     pub metrics: SocketAddr,
     /// Time from the signal to stop until the process is killed.
@@ -28,3 +34,15 @@
     /// Limits of the retry budget.
     pub budget: budget::Bounds,
 }
+
+impl Settings {
+    /// Returns how this daemon registers itself.
+    pub fn member(&self) -> Member {
+        Member {
+            id: self.name.clone(),
+            address: self.peer,
+            zone: self.zone.clone(),
+            changes: Some(self.changes),
+        }
+    }
+}
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decisions, without network I/O.
 
+mod changes;
 mod config;
 mod decisions;
 mod events;
@@ -7,6 +8,7 @@
 mod freshness;
 mod joint;
 mod load;
+mod pause;
 mod peers;
 mod placement;
 mod support;
