--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -12,7 +12,9 @@
 use prometheus_client::registry::Unit;
 
 use crate::freshness;
+use crate::freshness::Role;
 use crate::health::Outcome;
+use crate::observe::StoreCall;
 
 /// Prefix of the name of each metric family.
 const PREFIX: &str = "kumquattiller_gateway";
@@ -21,6 +23,9 @@
 /// Number of latency buckets.
 const LATENCY_BUCKETS: u16 = 13;
 
+/// Labels of a call to the store.
+type CallLabels = [(&'static str, String); 3];
+
 /// A label and its value.
 type Label = [(&'static str, String); 1];
 
@@ -42,7 +47,8 @@
     servers: Gauge,
     peers: Gauge,
     in_flight: Gauge,
-    store_calls: Family<Label, Counter>,
+    store_calls: Family<CallLabels, Counter>,
+    store_watcher: Gauge,
     ages: Family<Label, Gauge<f64, AtomicU64>>,
 }
 
@@ -69,6 +75,7 @@
             peers: Gauge::default(),
             in_flight: Gauge::default(),
             store_calls: Family::default(),
+            store_watcher: Gauge::default(),
             ages: Family::default(),
         };
         metrics.register();
@@ -113,6 +120,11 @@
         registry.register("peers", "Other daemons alive", self.peers.clone());
         registry.register("in_flight", "Requests at servers", self.in_flight.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register(
+            "store_watcher",
+            "Whether the daemon watches the store for its peers",
+            self.store_watcher.clone(),
+        );
         registry.register_with_unit(
             "state_age",
             "Time since the store last confirmed what the daemon holds, by kind",
@@ -172,9 +184,14 @@
         self.first_event.observe(time.as_secs_f64());
     }
 
-    /// Counts a call to the store by its outcome.
-    pub fn store_call(&self, outcome: &str) {
-        self.store_calls.get_or_create(&[("outcome", outcome.to_owned())]).inc();
+    /// Counts a call to the store.
+    pub fn store_call(&self, call: StoreCall) {
+        let labels = [
+            ("kind", call.kind.to_string()),
+            ("purpose", call.purpose.to_string()),
+            ("outcome", call.outcome.to_string()),
+        ];
+        self.store_calls.get_or_create(&labels).inc();
     }
 
     /// Returns all metric families as text, including the current state of the gateway.
@@ -183,6 +200,7 @@
         self.servers.set(state.servers as i64);
         self.peers.set(state.peers as i64);
         self.in_flight.set(state.in_flight as i64);
+        self.store_watcher.set(i64::from(state.role == Some(Role::Watcher)));
         for (kind, age) in state.ages {
             let label = [("kind", kind.to_string())];
             self.ages.get_or_create(&label).set(age.as_secs_f64());
@@ -206,6 +224,8 @@
     pub peers: usize,
     /// Requests at servers.
     pub in_flight: usize,
+    /// How the daemon learns of changes in the store, if that is known yet.
+    pub role: Option<Role>,
     /// Ages of the copies of the store that were ever confirmed.
     pub ages: Vec<(freshness::Kind, Duration)>,
 }
