gateway: a report of a peer costs no work for each server

Cause: each report named the draining servers, and a daemon compared the key of every server with them, computed anew each time. At 300 daemons and 3,000 servers that is 1,200 reports a second times 3,000 hashes: more than its whole processor time. Change: the servers are indexed by the key of their start.

--- a/crates/gateway/src/fleet/table.rs
+++ b/crates/gateway/src/fleet/table.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -42,12 +43,15 @@
 struct Member {
     server: Server,
     status: Status,
+    start_key: u64,
 }
 
 /// The backend servers that a daemon knows.
 #[derive(Debug, Default)]
 pub struct Table {
     members: BTreeMap<runner::Id, Member>,
+    /// The servers by [`Server::start_key`].
+    by_start_key: HashMap<u64, runner::Id>,
     /// Incarnations, by [`Server::start_key`], that peers reported as draining before this daemon
     /// saw it.
     peer_draining: BTreeSet<u64>,
@@ -65,7 +69,8 @@
 
     /// Adds or updates a registration.
     pub fn put(&mut self, server: Server) -> Change {
-        let draining = server.draining || self.peer_draining.contains(&server.start_key());
+        let start_key = server.start_key();
+        let draining = server.draining || self.peer_draining.contains(&start_key);
         let status = if draining { Status::Draining } else { Status::Ready };
         let old = self.members.get(&server.id);
         let change = match old {
@@ -74,7 +79,11 @@
             Some(_) => Change::Same,
             None => Change::Joined,
         };
-        self.members.insert(server.id.clone(), Member { server, status });
+        if let Some(old) = old {
+            self.by_start_key.remove(&old.start_key);
+        }
+        self.by_start_key.insert(start_key, server.id.clone());
+        self.members.insert(server.id.clone(), Member { server, status, start_key });
         change
     }
 
@@ -88,7 +97,7 @@
             member.status = Status::Lapsed(until);
             return Change::Lapsed;
         }
-        self.members.remove(id);
+        self.forget(id);
         Change::Gone
     }
 
@@ -114,13 +123,12 @@
     /// Marks the servers with the given [`Server::start_key`]s, reported by a peer, as draining;
     /// returns the servers that were not marked before.
     pub fn mark_draining(&mut self, start_keys: &[u64]) -> Vec<runner::Id> {
-        let reported: BTreeSet<u64> = start_keys.iter().copied().collect();
         let mut new = Vec::new();
-        for member in self.members.values_mut() {
-            let key = member.server.start_key();
-            if reported.contains(&key) && member.status != Status::Draining {
+        for key in start_keys {
+            let member = self.by_start_key.get(key).and_then(|id| self.members.get_mut(id));
+            if let Some(member) = member.filter(|m| m.status != Status::Draining) {
                 member.status = Status::Draining;
-                self.peer_draining.insert(key);
+                self.peer_draining.insert(*key);
                 new.push(member.server.id.clone());
             }
         }
@@ -130,7 +138,7 @@
     /// Returns the [`Server::start_key`]s of draining servers, to report to peers.
     pub fn draining_keys(&self) -> Vec<u64> {
         let is_draining = |m: &&Member| m.status == Status::Draining;
-        self.members.values().filter(is_draining).map(|m| m.server.start_key()).collect()
+        self.members.values().filter(is_draining).map(|m| m.start_key).collect()
     }
 
     /// Removes the lapsed registrations that were not renewed in time; returns their ids.
@@ -139,13 +147,18 @@
         let gone: Vec<runner::Id> =
             self.members.iter().filter(|(_, m)| is_expired(m)).map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            self.members.remove(id);
+            self.forget(id);
         }
-        let known: BTreeSet<u64> = self.members.values().map(|m| m.server.start_key()).collect();
-        self.peer_draining.retain(|key| known.contains(key));
+        self.peer_draining.retain(|key| self.by_start_key.contains_key(key));
         gone
     }
 
+    fn forget(&mut self, id: &runner::Id) {
+        if let Some(member) = self.members.remove(id) {
+            self.by_start_key.remove(&member.start_key);
+        }
+    }
+
     /// Returns the servers of a service that are not draining, ordered by id.
     pub fn usable(&self, service: &service::Name) -> Vec<&Server> {
         let is_usable = |m: &&Member| m.server.service == *service && m.status != Status::Draining;
--- a/crates/gateway/tests/testsuite/fleet.rs
+++ b/crates/gateway/tests/testsuite/fleet.rs
@@ -1,6 +1,7 @@
 //! Which backend servers may get work while servers drain or restart and during store outages.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
@@ -12,6 +13,12 @@
 use kumquattiller_gateway::fleet::Table;
 
 const START: Moment = Moment::from_millis(10_000);
+/// Number of servers of a large fleet.
+const SERVER_COUNT: usize = 3_000;
+/// Number of reports whose time is taken together.
+const REPORT_COUNT: u32 = 2_000;
+/// Time that the servers named in a report may take.
+const MAX_REPORT_TIME: Duration = Duration::from_micros(100);
 
 fn id(name: &str) -> runner::Id {
     name.parse().unwrap()
@@ -124,6 +131,22 @@
     assert_eq!((change, usable(&table).len()), (Change::Joined, 2));
 }
 
+/// Guards against work for each server on each report. A daemon of a fleet with 300 others gets over
+/// a thousand reports a second, and may spend a tenth of a core on them.
+#[test]
+fn reports_of_peers_cost_little_in_a_fleet_of_many_servers() {
+    let mut table = Table::default();
+    let servers: Vec<Server> = (0..SERVER_COUNT).map(|n| server(&format!("i-{n}"))).collect();
+    let draining = [servers[0].start_key(), servers[1].start_key()];
+    table.replace(servers, START);
+    let begin = Instant::now();
+    for _ in 0..REPORT_COUNT {
+        table.mark_draining(&draining);
+    }
+    assert!(begin.elapsed() < MAX_REPORT_TIME * REPORT_COUNT, "took {:?}", begin.elapsed());
+    assert_eq!(table.draining_keys().len(), 2);
+}
+
 /// Guards against collisions of start keys. When an incarnation of one server had the key of
 /// another server's incarnation, and the first server drained, all daemons treated both as draining
 /// (soak test).
