gateway: reports come rarer in fleets of more than 62 daemons; long prompts look at the cheapest servers only

Cause: the interval between reports grew with the peers, so that a daemon takes in about 250 a second, but ended at 250 ms; at 300 daemons that is 1,200 a second. A long prompt was weighed against every server for each of 17 numbers of parts: 4 ms at 3,000 servers (release build), 20 ms and more on the small machines. Change: the interval ends at 1 s; the age at which a report is ignored and at which a peer counts as dead follow it, and a confirmation of the copies that could not wait for the next report is sent at once. Of a division with more than 68 servers the 68 cheapest are weighed. Nothing changes below 62 daemons and 68 servers a division.

--- a/crates/gateway/src/freshness/table.rs
+++ b/crates/gateway/src/freshness/table.rs
@@ -13,8 +13,8 @@
 /// Time for a change that a peer has seen to arrive at this daemon, by its own watch or from the
 /// peer.
 const ARRIVAL_TIME: Duration = Duration::from_millis(350);
-/// Age from which a copy is no longer reported: no peer holds an older one.
-const MAX_REPORTED_AGE: Duration = Duration::from_secs(60);
+/// Age from which a copy is no longer reported, since it confirms none of the peers.
+const MAX_REPORTED_AGE: Duration = Duration::from_secs(10);
 
 /// Who confirmed a copy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
--- a/crates/gateway/src/gateway/copies.rs
+++ b/crates/gateway/src/gateway/copies.rs
@@ -21,11 +21,14 @@
 use crate::freshness::Revision;
 use crate::freshness::Role;
 use crate::freshness::Source;
+use crate::load::report_interval;
 use crate::peer;
 use crate::peer::Member;
 
 /// Interval at which a listener checks whether it has become a watcher.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time for which a confirmation may wait for the next regular report.
+const MAX_CONFIRMATION_DELAY: Duration = Duration::from_millis(250);
 /// Delay before the store is asked again after a failure, while peers confirm the copy.
 const CONFIRMED_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Number of peers that may ask the store once in a retry delay while it fails.
@@ -57,8 +60,8 @@
     }
 
     /// Applies what the store or a peer says of the objects of a kind, unless the copy already
-    /// contains it. What the store says is reported to the peers at once if it is a change, or if
-    /// the copies of the peers are probably overdue as well.
+    /// contains it. What the store says is reported to the peers at once if it is a change, if the
+    /// copies of the peers are probably overdue as well, or if they would be at the next report.
     pub fn apply_update(&self, update: Update) {
         let kind = update.kind;
         let before = self.copy_revision(kind);
@@ -82,11 +85,18 @@
             update.source,
         );
         let is_new = before.is_some() && last_change > before;
-        if update.source == Source::Store && (is_new || was_overdue) {
+        let is_urgent = is_new || was_overdue || self.reports_are_rare();
+        if update.source == Source::Store && is_urgent {
             self.request_report();
         }
     }
 
+    /// Returns whether the copies of the peers would be overdue before the regular report after a
+    /// confirmation.
+    fn reports_are_rare(&self) -> bool {
+        report_interval(self.peers.borrow().len()) > MAX_CONFIRMATION_DELAY
+    }
+
     fn apply_content(&self, kind: Kind, content: &Content, source: Source) {
         match (kind, content) {
             (Kind::Servers, Content::Complete(objects)) => self.replace_servers(objects),
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -15,8 +15,8 @@
 use crate::load::Assignment;
 use crate::load::Demand;
 use crate::load::gap_group;
+use crate::load::report_interval;
 use crate::load::server_key;
-use crate::peer;
 use crate::placement;
 use crate::placement::Candidate;
 use crate::placement::Declined;
@@ -120,7 +120,7 @@
     fn unreported_short_prompts(&self, demand: &Demand) -> f64 {
         let peers = self.peers.borrow().alive(self.now());
         let others = peers as f64 / (peers + 1) as f64;
-        demand.short_per_s * others * peer::interval(peers).as_secs_f64()
+        demand.short_per_s * others * report_interval(peers).as_secs_f64()
     }
 
     /// Returns the servers that may get a request. Failing servers are included only if no other is
--- a/crates/gateway/src/gateway/shutdown.rs
+++ b/crates/gateway/src/gateway/shutdown.rs
@@ -34,6 +34,7 @@
         let mut stop = self.stop.get();
         stop.begin(self.now());
         self.stop.set(stop);
+        self.request_report();
         loop {
             let phase = self.phase();
             self.phase.send_if_modified(|old| std::mem::replace(old, phase) != phase);
--- a/crates/gateway/src/load/ledger.rs
+++ b/crates/gateway/src/load/ledger.rs
@@ -13,10 +13,9 @@
 use crate::load::Meter;
 use crate::load::Streams;
 use crate::load::gap_group;
+use crate::load::max_report_age;
 use crate::load::server_key;
 
-/// Maximum age of a peer's report.
-const PEER_LOAD_MAX_AGE: Duration = Duration::from_millis(600);
 /// Minimum backlog, as a fraction of the prefill work of the requests without a first event: the
 /// server may be slower than estimated.
 const MIN_BACKLOG_FRACTION: f64 = 0.15;
@@ -189,7 +188,8 @@
 
     /// Removes peers without a recent report, and servers that are no longer known.
     pub fn expire(&mut self, now: Moment, known: impl Fn(&runner::Id) -> bool) {
-        self.peers.retain(|_, peer| now.since(peer.at) <= PEER_LOAD_MAX_AGE);
+        let max_age = max_report_age(self.peers.len());
+        self.peers.retain(|_, peer| now.since(peer.at) <= max_age);
         self.backlog_until.retain(|_, until| *until > now);
         self.local.retain(|id, local| local.is_busy() || known(id));
     }
@@ -212,10 +212,16 @@
         })
     }
 
+    /// Returns the peers with a recent report.
+    fn recent_peers(&self, now: Moment) -> impl Iterator<Item = &Peer> {
+        let max_age = max_report_age(self.peers.len());
+        self.peers.values().filter(move |peer| now.since(peer.at) <= max_age)
+    }
+
     /// Returns the work that the peers have in flight at each server.
     pub fn peer_loads(&self, now: Moment) -> HashMap<u64, Load> {
         let mut sums: HashMap<u64, Load> = HashMap::new();
-        for peer in self.peers.values().filter(|p| now.since(p.at) <= PEER_LOAD_MAX_AGE) {
+        for peer in self.recent_peers(now) {
             for (server, reported) in &peer.loads {
                 let sum = sums.entry(*server).or_default();
                 *sum = *sum + reported.load;
@@ -238,8 +244,7 @@
     /// Returns the work that all daemons have in flight at one server.
     pub fn server_load(&self, server: &runner::Id, now: Moment) -> Load {
         let key = server_key(server);
-        let recent = self.peers.values().filter(|p| now.since(p.at) <= PEER_LOAD_MAX_AGE);
-        let reported = recent.filter_map(|p| p.loads.get(&key));
+        let reported = self.recent_peers(now).filter_map(|p| p.loads.get(&key));
         let sum = reported.fold(Load::default(), |sum, reported| sum + reported.load);
         self.total_load(server, Some(&sum), now)
     }
--- a/crates/gateway/src/load/mod.rs
+++ b/crates/gateway/src/load/mod.rs
@@ -5,6 +5,7 @@
 
 mod demand;
 mod entry;
+mod interval;
 mod ledger;
 mod streams;
 mod view;
@@ -12,6 +13,8 @@
 pub use demand::Demand;
 pub use demand::Meter;
 pub use entry::Assignment;
+pub use interval::max_report_age;
+pub use interval::report_interval;
 pub use ledger::Key;
 pub use ledger::Ledger;
 pub use ledger::ReportedLoad;
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -1,7 +1,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use std::time::SystemTime;
 
 use kumquattiller_base::daemon;
@@ -13,6 +12,7 @@
 use crate::Gateway;
 use crate::freshness;
 use crate::load::Demand;
+use crate::load::report_interval;
 use crate::load::server_key;
 use crate::pause;
 use crate::peer::Load;
@@ -23,12 +23,6 @@
 use crate::stop::Phase;
 use crate::suspect;
 
-/// Minimum interval between the regular reports of a daemon.
-const MIN_INTERVAL: Duration = Duration::from_millis(50);
-/// Maximum interval between the regular reports of a daemon.
-const MAX_INTERVAL: Duration = Duration::from_millis(250);
-/// Added to the interval for each peer, so that the rate of received reports stays about constant.
-const INTERVAL_PER_PEER: Duration = Duration::from_millis(4);
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 /// Maximum number of suspects in a report.
@@ -65,7 +59,7 @@
                 sequence += 1;
                 send_reports(&gateway, &socket, Serial { incarnation, sequence });
                 let peers = gateway.peers().borrow().len();
-                next = tokio::time::Instant::now() + interval(peers);
+                next = tokio::time::Instant::now() + report_interval(peers);
             }
         }
     }
@@ -87,11 +81,6 @@
     true
 }
 
-/// Returns the interval between the regular reports of a daemon that has this many peers.
-pub fn interval(peers: usize) -> Duration {
-    (INTERVAL_PER_PEER * peers as u32).clamp(MIN_INTERVAL, MAX_INTERVAL)
-}
-
 fn send_reports(gateway: &Gateway, socket: &UdpSocket, serial: Serial) {
     let zone = gateway.settings().zone.as_ref();
     let now = gateway.now();
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -20,7 +20,6 @@
 mod table;
 mod transfer;
 
-pub use exchange::interval;
 pub use exchange::run;
 pub use fetch::serve;
 pub use member::Member;
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -8,10 +8,13 @@
 
 use crate::freshness::Kind;
 use crate::freshness::Revision;
+use crate::load::report_interval;
 use crate::peer::Member;
 
-/// Time after its last report until which a peer counts as alive.
-const ALIVE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Minimum time after its last report until which a peer counts as alive.
+const MIN_ALIVE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Number of intervals between reports after which a peer no longer counts as alive.
+const ALIVE_INTERVALS: u32 = 4;
 /// Interval between reports to a peer that is not alive.
 const SILENT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which an unregistered peer is kept after its last report.
@@ -123,9 +126,10 @@
         zone: Option<&Zone>,
         now: Moment,
     ) -> Vec<SocketAddr> {
+        let timeout = self.alive_timeout();
         let holds = |p: &&Peer| p.last_changes.get(&kind).is_some_and(|c| *c >= change);
         let holders: Vec<&Peer> =
-            self.peers.values().filter(|p| p.is_alive(now)).filter(holds).collect();
+            self.peers.values().filter(|p| p.is_alive(timeout, now)).filter(holds).collect();
         let addresses = |near: bool| -> Vec<SocketAddr> {
             let chosen = holders.iter().filter(|p| !near || p.zone.as_ref() == zone);
             chosen.filter_map(|p| p.changes).collect()
@@ -148,17 +152,18 @@
     pub fn take_due(&mut self, zone: Option<&Zone>, sequence: u64, now: Moment) -> Recipients {
         self.peers
             .retain(|_, p| p.registered || p.last_heard.is_some_and(|h| now.since(h) < RETENTION));
+        let timeout = self.alive_timeout();
         let mut recipients = Recipients::default();
         let mut remote: BTreeMap<Zone, Vec<SocketAddr>> = BTreeMap::new();
         for peer in self.peers.values_mut() {
             let interval_elapsed =
                 peer.last_report_sent.is_none_or(|at| now.since(at) >= SILENT_INTERVAL);
-            if !peer.is_alive(now) && !interval_elapsed {
+            if !peer.is_alive(timeout, now) && !interval_elapsed {
                 continue;
             }
             peer.last_report_sent = Some(now);
             let other_zone = peer.zone.as_ref().filter(|z| zone.is_some() && Some(*z) != zone);
-            match other_zone.filter(|_| peer.is_alive(now) && peer.changes.is_some()) {
+            match other_zone.filter(|_| peer.is_alive(timeout, now) && peer.changes.is_some()) {
                 Some(zone) => remote.entry(zone.clone()).or_default().push(peer.address),
                 None => recipients.direct.push(peer.address),
             }
@@ -175,7 +180,8 @@
 
     /// Returns the living peers of an availability zone, to which a report is forwarded.
     pub fn neighbours(&self, zone: &Zone, now: Moment) -> Vec<SocketAddr> {
-        let is_neighbour = |p: &&Peer| p.is_alive(now) && p.zone.as_ref() == Some(zone);
+        let timeout = self.alive_timeout();
+        let is_neighbour = |p: &&Peer| p.is_alive(timeout, now) && p.zone.as_ref() == Some(zone);
         self.peers.values().filter(is_neighbour).map(|p| p.address).collect()
     }
 
@@ -188,7 +194,8 @@
 
     /// Returns whether any peer is alive and not stopping.
     pub fn is_any_serving(&self, now: Moment) -> bool {
-        self.peers.values().any(|p| p.is_alive(now) && !p.stopping)
+        let timeout = self.alive_timeout();
+        self.peers.values().any(|p| p.is_alive(timeout, now) && !p.stopping)
     }
 
     /// Returns the living peers of an availability zone that pass changes on and are not stopping.
@@ -197,20 +204,26 @@
         zone: &'a Zone,
         now: Moment,
     ) -> impl Iterator<Item = &'a daemon::Id> {
+        let timeout = self.alive_timeout();
         let is_source = move |p: &Peer| {
-            p.is_alive(now) && !p.stopping && p.changes.is_some() && p.zone.as_ref() == Some(zone)
+            p.is_alive(timeout, now)
+                && !p.stopping
+                && p.changes.is_some()
+                && p.zone.as_ref() == Some(zone)
         };
         self.peers.iter().filter(move |(_, p)| is_source(p)).map(|(id, _)| id)
     }
 
     /// Returns how many living peers come before `own` in the order of names.
     pub fn rank(&self, own: &daemon::Id, now: Moment) -> usize {
-        self.peers.range(..own.clone()).filter(|(_, p)| p.is_alive(now)).count()
+        let timeout = self.alive_timeout();
+        self.peers.range(..own.clone()).filter(|(_, p)| p.is_alive(timeout, now)).count()
     }
 
     /// Returns how many peers are alive.
     pub fn alive(&self, now: Moment) -> usize {
-        self.peers.values().filter(|p| p.is_alive(now)).count()
+        let timeout = self.alive_timeout();
+        self.peers.values().filter(|p| p.is_alive(timeout, now)).count()
     }
 
     /// Returns how many peers are known.
@@ -218,6 +231,11 @@
         self.peers.len()
     }
 
+    /// Returns the time after its last report until which a peer counts as alive.
+    fn alive_timeout(&self) -> Duration {
+        (report_interval(self.peers.len()) * ALIVE_INTERVALS).max(MIN_ALIVE_TIMEOUT)
+    }
+
     /// Returns whether no peer is known.
     pub fn is_empty(&self) -> bool {
         self.peers.is_empty()
@@ -248,7 +266,7 @@
         }
     }
 
-    fn is_alive(&self, now: Moment) -> bool {
-        self.last_heard.is_some_and(|at| now.since(at) < ALIVE_TIMEOUT)
+    fn is_alive(&self, timeout: Duration, now: Moment) -> bool {
+        self.last_heard.is_some_and(|at| now.since(at) < timeout)
     }
 }
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -35,6 +35,9 @@
 const DISPLACED_LOSS: f64 = 0.3;
 /// Number of servers sampled for a short prompt, of which the cheapest is chosen.
 const SAMPLE_SIZE: usize = 4;
+/// Number of servers of a division that are considered for a long prompt: several times the most
+/// that take part, so that daemons that see the same loads can choose differently.
+const MAX_CONSIDERED: usize = 4 * (MAX_HELPERS + 1);
 /// Upper bound of the random cost added to a server for a long prompt, in units of request value.
 const JITTER_COST: f64 = 0.1;
 /// Cost of each participating server, in units of request value.
@@ -180,20 +183,43 @@
     demand: &Demand,
 ) -> Option<Placement> {
     let max_parts = (division.long.len() + division.short.len()).min(MAX_HELPERS + 1);
-    let options =
-        (1..=max_parts).filter_map(|parts| best_with_parts(request, division, demand, parts));
+    let min_part_ms = request.prefill_ms() / max_parts.max(1) as f64;
+    let considered = Division {
+        long: cheapest(request, &division.long, min_part_ms),
+        short: cheapest(request, &division.short, min_part_ms),
+    };
+    let arrivals_per_s = demand.short_per_s / division.short.len().max(1) as f64;
+    let options = (1..=max_parts)
+        .filter_map(|parts| best_with_parts(request, &considered, arrivals_per_s, parts));
     options.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(placement, _)| placement)
 }
 
-/// Returns the cheapest placement on `parts` servers and its cost.
+/// Returns the servers that are considered for a part of a prompt: all of a small division, the
+/// cheapest ones of a large one.
+fn cheapest<'a>(
+    request: &Request<'_>,
+    servers: &[&'a Candidate],
+    part_ms: f64,
+) -> Vec<&'a Candidate> {
+    if servers.len() <= MAX_CONSIDERED {
+        return servers.to_vec();
+    }
+    let mut costs: Vec<(&Candidate, f64)> =
+        servers.iter().map(|c| (*c, participant_cost(request, c, part_ms) + jitter())).collect();
+    costs.select_nth_unstable_by(MAX_CONSIDERED, |a, b| a.1.total_cmp(&b.1));
+    costs[..MAX_CONSIDERED].iter().map(|(c, _)| *c).collect()
+}
+
+/// Returns the cheapest placement on `parts` servers and its cost. `arrivals_per_s` is the rate of
+/// short prompts at each of their servers; those that arrive while it prefills a part are lost.
 fn best_with_parts(
     request: &Request<'_>,
     division: &Division<'_>,
-    demand: &Demand,
+    arrivals_per_s: f64,
     parts: usize,
 ) -> Option<(Placement, f64)> {
     let part_ms = request.prefill_ms() / parts as f64;
-    let displaced_loss = displaced_loss(division, demand, part_ms);
+    let displaced_loss = arrivals_per_s * part_ms / 1e3 * DISPLACED_LOSS;
     let long = division.long.iter().map(|c| (*c, participant_cost(request, c, part_ms) + jitter()));
     let short = division.short.iter().map(|c| {
         let busy = c.load.backlog_ms + part_ms > HARMLESS_PREFILL_MS;
@@ -242,10 +268,3 @@
         + candidate.load.backlog_ms / 1e3 * WAIT_COST_PER_S
         + PARTICIPANT_COST
 }
-
-/// Returns the expected loss of short prompts that arrive while one of their servers prefills a
-/// long part.
-fn displaced_loss(division: &Division<'_>, demand: &Demand, part_ms: f64) -> f64 {
-    let servers = division.short.len().max(1) as f64;
-    demand.short_per_s / servers * part_ms / 1e3 * DISPLACED_LOSS
-}
