--- a/crates/gateway/src/gateway/copies.rs
+++ b/crates/gateway/src/gateway/copies.rs
@@ -29,6 +29,8 @@
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest time for which a confirmation may wait for the next regular report.
 const MAX_CONFIRMATION_DELAY: Duration = Duration::from_millis(250);
+/// Longest delay before a daemon that has just started asks the store again.
+const STARTUP_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay before the store is asked again after a failure, while peers confirm the copy.
 const CONFIRMED_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Number of peers that may ask the store once in a retry delay while it fails.
@@ -248,7 +250,8 @@
         self.change_missed.notified().await;
     }
 
-    /// Waits before the store is asked again about a kind after a failure, for `delay` or longer.
+    /// Waits before the store is asked again about a kind after a failure, for `delay` or longer;
+    /// not as long if this daemon has just started and can serve nothing yet.
     ///
     /// A daemon whose copy peers confirm waits until it is overdue. Of many listeners whose copies
     /// are overdue only a few ask in each `delay`, since the answer to any of them helps all. A
@@ -257,6 +260,7 @@
         let is_overdue = self.freshness.borrow().overdue_at(kind, self.rank()) <= self.now();
         let limit = match (is_overdue, self.role()) {
             (false, _) => CONFIRMED_RETRY_DELAY,
+            (true, _) if !self.is_loaded() => delay.min(STARTUP_RETRY_DELAY),
             (true, Role::Watcher) => delay,
             (true, Role::Listener) => delay * (self.peers_alive() / PEERS_PER_RETRY).max(1) as u32,
         };
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -62,7 +62,8 @@
         }
     }
 
-    fn is_loaded(&self) -> bool {
+    /// Returns whether the daemon has a configuration and the backend servers.
+    pub fn is_loaded(&self) -> bool {
         self.config.borrow().is_some() && self.fleet_loaded.get()
     }
 
--- a/crates/gateway/src/observe/store_call.rs
+++ b/crates/gateway/src/observe/store_call.rs
@@ -23,6 +23,8 @@
     Watch,
     /// Confirms a copy that is old or lacks a change.
     Confirm,
+    /// Finds out whether the store responds again.
+    Probe,
 }
 
 /// How a call to the store ended.
--- a/crates/gateway/src/peer/sync.rs
+++ b/crates/gateway/src/peer/sync.rs
@@ -14,6 +14,7 @@
 use prost::Message;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
@@ -35,6 +36,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of an exchange with a peer.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Number of peers that are answered at the same time. An answer may hold all servers of a fleet.
+const MAX_ANSWERS: usize = 4;
 /// Maximum size of a request.
 const MAX_REQUEST_BYTES: usize = 64;
 /// Maximum size of a response.
@@ -93,6 +96,7 @@
 /// Fails if the address cannot be bound.
 pub async fn serve(gateway: Rc<Gateway>) -> io::Result<()> {
     let listener = TcpListener::bind(gateway.settings().changes).await?;
+    let answers = Rc::new(Semaphore::new(MAX_ANSWERS));
     loop {
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -103,7 +107,9 @@
             }
         };
         let gateway = gateway.clone();
+        let answers = answers.clone();
         tokio::task::spawn_local(async move {
+            let _permit = answers.acquire().await;
             let result = timeout(EXCHANGE_TIMEOUT, answer(&gateway, stream)).await;
             if let Err(error) = result.map_err(io::Error::from).flatten() {
                 info!(target: "peer", from:%, error:%; "failed to pass changes on to a peer");
