--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -147,7 +147,7 @@
     ///
     /// Living peers of another availability zone get the report from one of them, chosen by
     /// `sequence`, so that it crosses between the zones once. All others get it directly: those of
-    /// the own zone, those that cannot forward, and once in [`SILENT_INTERVAL`] those that are not
+    /// the own zone, those that cannot forward, and once in a second those that are not
     /// alive.
     pub fn take_due(&mut self, zone: Option<&Zone>, sequence: u64, now: Moment) -> Recipients {
         self.peers
