gateway: placement counts the delay of prompts that wait at a server

Each was split over the same five or six servers as the one before, and an engine prefills the parts of a helped prompt before other prompts, so later ones delayed all earlier ones. The price of a placement held the streams that had begun and the wait of the new prompt, but not the prompts that wait. A part costs half of that times its length. As the price now holds more, a prompt for several memories may cost others up to 0.85 of its gain (was 0.55).

--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -22,6 +22,7 @@
 use crate::placement::Declined;
 use crate::placement::Placement;
 use crate::placement::Reason;
+use crate::placement::first_urgency;
 use crate::placement::fits_jointly;
 use crate::placement::is_long;
 use crate::placement::needs_joint;
@@ -158,6 +159,7 @@
             prefill_ms: placement.part_ms,
             target_gap: request.route.target_gap,
             value: prompt.map_or(0.0, |p| request_value(p.tokens)),
+            urgency: prompt.map_or(0.0, |p| first_urgency(p.tokens, request.route.target_latency)),
             memory,
             helper: false,
         };
--- a/crates/gateway/src/load/entry.rs
+++ b/crates/gateway/src/load/entry.rs
@@ -17,6 +17,8 @@
     pub target_gap: Duration,
     /// Value of the response to the caller while it is on time.
     pub value: f64,
+    /// Value that the request loses with each millisecond by which its first event is delayed.
+    pub urgency: f64,
     /// Tokens held in the engine's memory until the request ends.
     pub memory: Tokens,
     /// Whether the server only prefills a part or holds memory, and does not generate the response.
--- a/crates/gateway/src/load/ledger.rs
+++ b/crates/gateway/src/load/ledger.rs
@@ -46,6 +46,7 @@
     interactive: u32,
     decoding: u32,
     memory: u64,
+    urgency: f64,
 }
 
 /// Load that a daemon reports to its peers for one server.
@@ -86,6 +87,7 @@
             let local = self.local.entry(assignment.server.clone()).or_default();
             local.sent_ms += assignment.prefill_ms;
             local.backlog_ms += assignment.prefill_ms;
+            local.urgency += assignment.urgency;
             local.memory += assignment.memory.get();
             if !assignment.helper {
                 local.requests += 1;
@@ -275,8 +277,10 @@
 fn finish_prefill(local: &mut HashMap<runner::Id, LocalLoad>, assignment: &Assignment) {
     if let Some(local) = local.get_mut(&assignment.server) {
         local.backlog_ms -= assignment.prefill_ms;
+        local.urgency -= assignment.urgency;
         if local.backlog_ms < ROUNDING_ERROR_MS {
             local.backlog_ms = 0.0;
+            local.urgency = 0.0;
         }
     }
 }
@@ -294,6 +298,7 @@
             decoding: self.decoding,
             streams: Default::default(),
             memory: self.memory,
+            urgency: self.urgency,
         }
     }
 }
--- a/crates/gateway/src/load/view.rs
+++ b/crates/gateway/src/load/view.rs
@@ -19,6 +19,8 @@
     pub streams: [Streams; GAP_GROUPS],
     /// Tokens held in the engine's memory.
     pub memory: u64,
+    /// Value that the requests whose first event has not come lose with each millisecond of delay.
+    pub urgency: f64,
 }
 
 impl std::ops::Add for Load {
@@ -32,6 +34,7 @@
             decoding: self.decoding + other.decoding,
             streams: std::array::from_fn(|n| self.streams[n] + other.streams[n]),
             memory: self.memory + other.memory,
+            urgency: self.urgency + other.urgency,
         }
     }
 }
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -36,6 +36,9 @@
     /// Streams that are on time, grouped by target gap.
     #[prost(message, repeated, tag = "8")]
     pub streams: Vec<Streams>,
+    /// Value that the requests whose first event has not come lose with each second of delay.
+    #[prost(float, tag = "9")]
+    pub urgency_per_s: f32,
 }
 
 /// The streams of one group on a server.
@@ -330,6 +333,7 @@
             memory: load.memory,
             decoding: load.decoding,
             streams: load.streams.iter().map(Into::into).collect(),
+            urgency_per_s: (load.urgency * 1e3) as f32,
         }
     }
 }
@@ -346,6 +350,7 @@
             memory: load.memory,
             decoding: load.decoding,
             streams,
+            urgency: f64::from(load.urgency_per_s) / 1e3,
         };
         Self { load, sent_ms }
     }
--- a/crates/gateway/src/placement/joint.rs
+++ b/crates/gateway/src/placement/joint.rs
@@ -21,7 +21,7 @@
 
 /// Largest cost to other requests, as a fraction of the prompt's own gain. It is below 1 because
 /// the estimate does not cover all later requests that find the servers busy with this prompt.
-const MAX_COST_FRACTION: f64 = 0.55;
+const MAX_COST_FRACTION: f64 = 0.85;
 /// Value of one second of prefill for long prompts.
 const VALUE_PER_PREFILL_S: f64 = 6.5;
 /// Fraction of its value that a prompt loses when its servers are busy on its arrival.
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -24,4 +24,5 @@
 pub use prompt::is_long;
 pub use prompt::needs_joint;
 pub use prompt::place_prompt;
+pub use utility::first_urgency;
 pub use utility::request_value;
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -150,6 +150,7 @@
         request.cost(c, prefill_ms)
             + request.wait_cost(first_ms)
             + utility::stream_loss(request.profile, c, prefill_ms)
+            + utility::waiting_loss(c, prefill_ms)
     };
     let short = division.short.iter().map(|c| (*c, cost(c)));
     let long = division.long.iter().map(|c| (*c, cost(c) + WRONG_DIVISION_COST));
@@ -261,10 +262,11 @@
     rand::random::<f64>() * JITTER_COST
 }
 
-/// Returns the cost of prefilling a part on a server: delays of its streams, and the wait for its
-/// backlog.
+/// Returns the cost of prefilling a part on a server: delays of its streams and of the prompts that
+/// wait there, and the wait for its backlog.
 pub fn participant_cost(request: &Request<'_>, candidate: &Candidate, part_ms: f64) -> f64 {
     utility::stream_loss(request.profile, candidate, part_ms)
+        + utility::waiting_loss(candidate, part_ms)
         + candidate.load.backlog_ms / 1e3 * WAIT_COST_PER_S
         + PARTICIPANT_COST
 }
--- a/crates/gateway/src/placement/utility.rs
+++ b/crates/gateway/src/placement/utility.rs
@@ -38,6 +38,23 @@
     1.0 + prompt.get() as f64 / TOKENS_PER_VALUE
 }
 
+/// Fraction of the prefill work added to a server by which the first events of the prompts that
+/// wait there are delayed: a prompt that several servers prefill waits only for the last of them.
+const DELAY_FRACTION: f64 = 0.5;
+
+/// Returns the expected loss of the prompts that wait at a server if it gets `part_ms` more prefill,
+/// which may be prefilled before them.
+pub fn waiting_loss(candidate: &Candidate, part_ms: f64) -> f64 {
+    candidate.load.urgency * part_ms * DELAY_FRACTION
+}
+
+/// Returns the value that a response loses with each millisecond by which its first event is
+/// delayed, while it may still come in time.
+pub fn first_urgency(prompt: Tokens, target_latency: Duration) -> f64 {
+    let span_ms = millis(target_latency) * (LATE_FRACTION - FIRST_ON_TIME_FRACTION);
+    request_value(prompt) * LATE_LOSS / span_ms.max(1.0)
+}
+
 /// Returns the length of a server's next pass if it gets `part_ms` more prefill, in milliseconds.
 pub fn pass_ms(profile: &Profile, candidate: &Candidate, part_ms: f64) -> f64 {
     let load = &candidate.load;
--- a/crates/gateway/tests/testsuite/load.rs
+++ b/crates/gateway/tests/testsuite/load.rs
@@ -29,6 +29,7 @@
         prefill_ms: 100.0,
         target_gap: Duration::from_millis(if n.is_multiple_of(3) { 200 } else { 800 }),
         value: 2.0,
+        urgency: 0.01,
         memory: Tokens::new(if helper { 0 } else { 1_000 }),
         helper,
     }
@@ -217,3 +218,15 @@
     assert!(busy.long_ms_per_s > 1_000.0 && busy.short_per_s > 5.0, "{busy:?}");
     assert!(idle.long_ms_per_s < 10.0 && idle.short_per_s < 0.1, "{idle:?}");
 }
+
+#[test]
+fn a_request_is_urgent_at_all_its_servers_until_its_first_event() {
+    let mut ledger = Ledger::default();
+    let key = ledger.start(vec![assignment(0, false), assignment(1, true)], Moment::ZERO);
+    let urgency = |ledger: &Ledger, n: usize| ledger.local_load(&id(n)).urgency;
+    assert_eq!((urgency(&ledger, 0), urgency(&ledger, 1)), (0.01, 0.01));
+    ledger.first_event(key, true);
+    assert_eq!((urgency(&ledger, 0), urgency(&ledger, 1)), (0.0, 0.0));
+    ledger.end(key);
+    assert_eq!(urgency(&ledger, 0), 0.0);
+}
--- a/crates/gateway/tests/testsuite/placement.rs
+++ b/crates/gateway/tests/testsuite/placement.rs
@@ -12,6 +12,7 @@
 use kumquattiller_gateway::placement::Division;
 use kumquattiller_gateway::placement::Placement;
 use kumquattiller_gateway::placement::Request;
+use kumquattiller_gateway::placement::first_urgency;
 use kumquattiller_gateway::placement::is_long;
 use kumquattiller_gateway::placement::place_plain;
 use kumquattiller_gateway::placement::place_prompt;
@@ -142,3 +143,18 @@
 fn placement_fails_without_servers() {
     assert_eq!(place_plain(&[], 0.5), Err(Declined::NoServer));
 }
+
+/// Answers a burst of large prompts: the parts of later prompts are prefilled first, so that a
+/// prompt which shares its servers with later ones comes seconds after it was foreseen.
+#[test]
+fn a_large_prompt_avoids_servers_at_which_urgent_prompts_wait() {
+    let urgency = first_urgency(Tokens::new(160_000), Duration::from_secs(3));
+    let waiting = Load { backlog_ms: 300.0, requests: 1, urgency, ..Load::default() };
+    let served = Load { urgency: 0.0, ..waiting };
+    let loads: Vec<Load> = (0..16).map(|n| if n % 2 == 0 { waiting } else { served }).collect();
+    let candidates = candidates(&loads);
+    let placement = place(160_000, 3_000, 1_000, &candidates);
+    let servers = std::iter::once(&placement.server).chain(&placement.helpers);
+    let urgent = servers.filter(|id| candidates.iter().any(|c| c.id == **id && c.load == waiting));
+    assert_eq!(urgent.count(), 0, "{placement:?}");
+}
