--- a/crates/gateway/src/fleet/table.rs
+++ b/crates/gateway/src/fleet/table.rs
@@ -67,12 +67,15 @@
         }
     }
 
-    /// Adds or updates a registration.
+    /// Adds or updates a registration. A server that drains does so until it restarts, whatever its
+    /// registration says later: the store may have been restored from an older copy.
     pub fn put(&mut self, server: Server) -> Change {
         let start_key = server.start_key();
-        let draining = server.draining || self.peer_draining.contains(&start_key);
-        let status = if draining { Status::Draining } else { Status::Ready };
         let old = self.members.get(&server.id);
+        let was_draining =
+            old.is_some_and(|o| o.start_key == start_key && o.status == Status::Draining);
+        let draining = server.draining || was_draining || self.peer_draining.contains(&start_key);
+        let status = if draining { Status::Draining } else { Status::Ready };
         let change = match old {
             Some(old) if old.server.started_ms != server.started_ms => Change::Joined,
             Some(old) if draining && old.status != Status::Draining => Change::Draining,
--- a/crates/gateway/tests/testsuite/fleet.rs
+++ b/crates/gateway/tests/testsuite/fleet.rs
@@ -123,6 +123,14 @@
     assert_eq!(usable(&table), ["b"]);
 }
 
+#[test]
+fn a_server_known_to_drain_stays_so_when_an_older_entry_comes_back() {
+    let mut table = table();
+    table.put(Server { draining: true, ..server("a") });
+    assert_eq!(table.put(server("a")), Change::Same);
+    assert_eq!(usable(&table), ["b"]);
+}
+
 #[test]
 fn a_restarted_server_is_not_draining() {
     let mut table = table();
