--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -89,6 +89,8 @@
     pub signed: bool,
     /// Whether it proves that the request was not executed.
     pub not_run: bool,
+    /// Whether the server states that it is leaving.
+    pub leaving: bool,
     /// Address of the helper that caused the failure, if it is not the responding server itself.
     pub failed_server: Option<SocketAddr>,
     /// How long the server keeps the connection open.
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -97,6 +97,18 @@
         info!(target: "fleet", server:% = id, change:%, known; "server changed");
     }
 
+    /// Records that a server states in a response that it is leaving, and tells the peers at once. It
+    /// gets no further work until it has restarted.
+    pub fn mark_leaving(&self, id: &runner::Id) {
+        let start_key = self.fleet.borrow().server(id).map(fleet::Server::start_key);
+        let marked = self.fleet.borrow_mut().mark_draining(start_key.as_slice());
+        if !marked.is_empty() {
+            info!(target: "fleet", server:% = id; "the server states that it is leaving");
+            self.metrics.server_leaving();
+            self.request_report();
+        }
+    }
+
     /// Returns whether the load balancer may send requests to this daemon.
     pub fn is_ready(&self) -> bool {
         self.is_loaded() && self.phase() == Phase::Serving
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -40,6 +40,7 @@
     streams_interrupted: Counter,
     callers_disconnected: Counter,
     connections: Counter,
+    servers_leaving: Counter,
     responses: Family<Label, Histogram, fn() -> Histogram>,
     first_event: Histogram,
     timer_delay: Histogram,
@@ -67,6 +68,7 @@
             streams_interrupted: Counter::default(),
             callers_disconnected: Counter::default(),
             connections: Counter::default(),
+            servers_leaving: Counter::default(),
             responses: Family::new_with_constructor(latency_histogram),
             first_event: latency_histogram(),
             timer_delay: latency_histogram(),
@@ -103,6 +105,11 @@
             self.callers_disconnected.clone(),
         );
         registry.register("connections", "Connections opened", self.connections.clone());
+        registry.register(
+            "servers_leaving",
+            "Servers that stated in a response that they are leaving",
+            self.servers_leaving.clone(),
+        );
         registry.register_with_unit(
             "answer",
             "Time to the whole answer",
@@ -173,6 +180,11 @@
         self.connections.inc();
     }
 
+    /// Counts a server that stated in a response that it is leaving.
+    pub fn server_leaving(&self) {
+        self.servers_leaving.inc();
+    }
+
     /// Observes the time to a complete response.
     pub fn response_completed(&self, streaming: bool, time: Duration) {
         let kind = if streaming { "stream" } else { "plain" };
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -147,7 +147,11 @@
     let exchange = async {
         let mut connection = Connection::open(&server.id, server.address, CALL_TIMEOUT).await?;
         let sent = connection.sender.send_request(request(gateway)).await;
-        sent.map(|response| response.status()).map_err(std::io::Error::other)
+        let response = sent.map_err(std::io::Error::other)?;
+        if gateway.dialect().response_info(response.status(), response.headers()).leaving {
+            gateway.mark_leaving(&server.id);
+        }
+        Ok::<_, std::io::Error>(response.status())
     };
     match timeout(CALL_TIMEOUT, exchange).await {
         Ok(Ok(status)) => Some(status),
