--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod copies;
 mod requests;
+mod role;
 mod shutdown;
 mod state;
 mod suspects;
--- a/crates/gateway/src/peer/fetch.rs
+++ b/crates/gateway/src/peer/fetch.rs
@@ -12,21 +12,19 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::codec::Framed;
-use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::Gateway;
 use crate::freshness::Source;
 use crate::http::dial;
 use crate::peer::Document;
+use crate::peer::frames::MAX_MESSAGE_BYTES;
+use crate::peer::frames::framed;
 
 /// Delay before a newer version is fetched from a peer, in which the store may deliver it. The same
 /// delay is used before accepting connections again after an error.
 const STORE_HEAD_START: Duration = Duration::from_millis(300);
 /// Time limit for transferring a document between peers.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum size of a document.
-const MAX_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
 
 /// Starts to fetch the configuration and the servers from a peer, unless a fetch is running.
 /// Fetches nothing if another version arrives within [`STORE_HEAD_START`].
@@ -62,7 +60,7 @@
 
 async fn receive(peer: SocketAddr) -> io::Result<Document> {
     let stream = dial(peer, FETCH_TIMEOUT).await?;
-    let mut frames = framed(stream);
+    let mut frames = framed(stream, MAX_MESSAGE_BYTES);
     let frame = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
     Ok(Document::decode(frame)?)
 }
@@ -98,12 +96,7 @@
 }
 
 async fn send(stream: TcpStream, document: Document) -> io::Result<()> {
-    let mut frames = framed(stream);
+    let mut frames = framed(stream, MAX_MESSAGE_BYTES);
     frames.send(Bytes::from(document.encode_to_vec())).await?;
     SinkExt::<Bytes>::close(&mut frames).await
 }
-
-/// Splits a stream into messages with a length prefix.
-fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
-    LengthDelimitedCodec::builder().max_frame_length(MAX_DOCUMENT_BYTES).new_framed(stream)
-}
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -14,6 +14,7 @@
 
 mod exchange;
 mod fetch;
+mod frames;
 mod member;
 mod message;
 mod sync;
--- a/crates/gateway/src/peer/sync.rs
+++ b/crates/gateway/src/peer/sync.rs
@@ -16,14 +16,14 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
-use tokio_util::codec::Framed;
-use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::Gateway;
 use crate::freshness::Kind;
 use crate::freshness::Revision;
 use crate::freshness::Role;
 use crate::http::dial;
+use crate::peer::frames::MAX_MESSAGE_BYTES;
+use crate::peer::frames::framed;
 use crate::peer::transfer::Request;
 use crate::peer::transfer::Response;
 
@@ -40,8 +40,6 @@
 const MAX_ANSWERS: usize = 4;
 /// Maximum size of a request.
 const MAX_REQUEST_BYTES: usize = 64;
-/// Maximum size of a response.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Delay before connections are accepted again after an error.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -83,7 +81,7 @@
 }
 
 async fn exchange(peer: SocketAddr, request: Request) -> io::Result<Response> {
-    let mut frames = framed(dial(peer, CONNECT_TIMEOUT).await?, MAX_RESPONSE_BYTES);
+    let mut frames = framed(dial(peer, CONNECT_TIMEOUT).await?, MAX_MESSAGE_BYTES);
     frames.send(Bytes::from(request.encode_to_vec())).await?;
     let frame = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
     Ok(Response::decode(frame)?)
@@ -119,19 +117,14 @@
 }
 
 async fn answer(gateway: &Gateway, stream: TcpStream) -> io::Result<()> {
-    let mut frames = framed(stream, MAX_RESPONSE_BYTES);
+    let mut frames = framed(stream, MAX_MESSAGE_BYTES);
     frames.codec_mut().set_max_frame_length(MAX_REQUEST_BYTES);
     let frame = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
     let request = Request::decode(frame)?;
     let kind = request.kind().try_into().map_err(io::Error::other)?;
     let response = gateway.changes_since(kind, request.copy_revision());
     let response = response.ok_or_else(|| io::Error::other("there is no copy yet"))?;
-    frames.codec_mut().set_max_frame_length(MAX_RESPONSE_BYTES);
+    frames.codec_mut().set_max_frame_length(MAX_MESSAGE_BYTES);
     frames.send(Bytes::from(response.encode_to_vec())).await?;
     SinkExt::<Bytes>::close(&mut frames).await
 }
-
-/// Splits a stream into messages with a length prefix.
-fn framed(stream: TcpStream, max_bytes: usize) -> Framed<TcpStream, LengthDelimitedCodec> {
-    LengthDelimitedCodec::builder().max_frame_length(max_bytes).new_framed(stream)
-}
