--- a/crates/gateway/src/freshness/table.rs
+++ b/crates/gateway/src/freshness/table.rs
@@ -92,8 +92,8 @@
         copy.missing = copy.missing.filter(is_missing);
     }
 
-    /// Applies what a peer reports of its copy. A peer whose copy is of another era of the store
-    /// confirms nothing.
+    /// Applies what a peer reports of its copy. A peer whose copy is of an earlier era of the store
+    /// confirms nothing; one whose copy is of a later era has changes that this copy lacks.
     pub fn merge(&mut self, kind: Kind, reported: Confirmation, now: Moment) -> Effect {
         let confirmed_at = now - reported.age;
         let Some(copy) = self.copies.get_mut(&kind).filter(|c| c.confirmed_at < confirmed_at)
--- a/crates/gateway/src/load/view.rs
+++ b/crates/gateway/src/load/view.rs
@@ -19,7 +19,8 @@
     pub streams: [Streams; GAP_GROUPS],
     /// Tokens held in the engine's memory.
     pub memory: u64,
-    /// Value that the requests whose first event has not come lose with each millisecond of delay.
+    /// Sum of the urgency of the requests whose first event has not come: the value that they lose
+    /// with each millisecond of delay.
     pub urgency: f64,
 }
 
--- a/crates/gateway/src/pause.rs
+++ b/crates/gateway/src/pause.rs
@@ -27,7 +27,8 @@
         Self { steady, wall }
     }
 
-    /// Returns the time since the last check if it was long enough to count as a pause.
+    /// Returns the time since the last check if it was long enough to count as a pause: by the clock
+    /// that counts more of it.
     pub fn check(&mut self, steady: Instant, wall: SystemTime) -> Option<Duration> {
         let steady_time = steady.saturating_duration_since(self.steady);
         let wall_time = wall.duration_since(self.wall).unwrap_or_default();
