--- a/crates/gateway/src/gateway/copies.rs
+++ b/crates/gateway/src/gateway/copies.rs
@@ -23,6 +23,8 @@
 use crate::peer;
 use crate::peer::Member;
 
+/// Number of objects that a daemon passes on to a peer at once.
+const MAX_OBJECTS: usize = 1_000;
 /// Longest time for which a confirmation may wait for the next regular report.
 const MAX_CONFIRMATION_DELAY: Duration = Duration::from_millis(250);
 
@@ -134,8 +136,9 @@
         self.peers.borrow_mut().replace(&members, &self.settings.name);
     }
 
-    /// Returns what a peer lacks whose copy of a kind is complete up to `from`, or `None` if this
-    /// daemon has no copy.
+    /// Returns what a peer lacks whose copy of a kind is complete up to `from`. Returns `None` if this
+    /// daemon has no copy, or if the peer would get more than a thousand objects: the store has
+    /// a longer history and tells it only the changes.
     pub fn changes_since(&self, kind: Kind, from: Option<Revision>) -> Option<peer::Response> {
         let now = self.now();
         let age = self.freshness.borrow().age(kind, now)?;
@@ -143,6 +146,9 @@
         let histories = self.histories.borrow();
         let since = |from: Revision| Some(Content::Since(from, histories.get(&kind)?.since(from)?));
         let content = from.and_then(since).unwrap_or_else(|| self.all_objects(kind));
+        if matches!(&content, Content::Complete(objects) if objects.len() > MAX_OBJECTS) {
+            return None;
+        }
         let update = Update { kind, source: Source::Peer, content, revision, shown_at: now };
         Some(peer::Response::from(&update).with_age(age))
     }
--- a/crates/gateway/src/peer/sync.rs
+++ b/crates/gateway/src/peer/sync.rs
@@ -107,8 +107,7 @@
         let gateway = gateway.clone();
         let answers = answers.clone();
         tokio::task::spawn_local(async move {
-            let _permit = answers.acquire().await;
-            let result = timeout(EXCHANGE_TIMEOUT, answer(&gateway, stream)).await;
+            let result = timeout(EXCHANGE_TIMEOUT, answer(&gateway, stream, &answers)).await;
             if let Err(error) = result.map_err(io::Error::from).flatten() {
                 info!(target: "peer", from:%, error:%; "failed to pass changes on to a peer");
             }
@@ -116,14 +115,15 @@
     }
 }
 
-async fn answer(gateway: &Gateway, stream: TcpStream) -> io::Result<()> {
+async fn answer(gateway: &Gateway, stream: TcpStream, answers: &Semaphore) -> io::Result<()> {
+    let _permit = answers.acquire().await.map_err(io::Error::other)?;
     let mut frames = framed(stream, MAX_MESSAGE_BYTES);
     frames.codec_mut().set_max_frame_length(MAX_REQUEST_BYTES);
     let frame = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
     let request = Request::decode(frame)?;
     let kind = request.kind().try_into().map_err(io::Error::other)?;
     let response = gateway.changes_since(kind, request.copy_revision());
-    let response = response.ok_or_else(|| io::Error::other("there is no copy yet"))?;
+    let response = response.ok_or_else(|| io::Error::other("there is no copy to pass on"))?;
     frames.codec_mut().set_max_frame_length(MAX_MESSAGE_BYTES);
     frames.send(Bytes::from(response.encode_to_vec())).await?;
     SinkExt::<Bytes>::close(&mut frames).await
