--- a/crates/gateway/src/fleet/table.rs
+++ b/crates/gateway/src/fleet/table.rs
@@ -50,7 +50,7 @@
 #[derive(Debug, Default)]
 pub struct Table {
     members: BTreeMap<runner::Id, Member>,
-    /// The servers by [`Server::start_key`].
+    /// The servers by [`Server::start_key`], by which the reports of peers name them.
     by_start_key: HashMap<u64, runner::Id>,
     /// Incarnations, by [`Server::start_key`], that peers reported as draining before this daemon
     /// saw it.
@@ -156,6 +156,7 @@
         gone
     }
 
+    /// Removes a server from both indexes.
     fn forget(&mut self, id: &runner::Id) {
         if let Some(member) = self.members.remove(id) {
             self.by_start_key.remove(&member.start_key);
--- a/crates/gateway/src/gateway/copies.rs
+++ b/crates/gateway/src/gateway/copies.rs
@@ -91,6 +91,7 @@
         report_interval(self.peers.borrow().len()) > MAX_CONFIRMATION_DELAY
     }
 
+    /// Applies the objects of a kind, or their changes.
     fn apply_content(&self, kind: Kind, content: &Content, source: Source) {
         match (kind, content) {
             (Kind::Servers, Content::Complete(objects)) => self.replace_servers(objects),
@@ -121,6 +122,7 @@
         }
     }
 
+    /// Replaces the backend servers by a complete list.
     fn replace_servers(&self, objects: &[Change]) {
         let servers: Vec<fleet::Server> = objects.iter().filter_map(Change::server).collect();
         let effects = self.fleet.borrow_mut().replace(servers, self.now());
@@ -130,6 +132,7 @@
         self.set_fleet_loaded();
     }
 
+    /// Replaces the peers by a complete list.
     fn replace_daemons(&self, objects: &[Change]) {
         let members: Vec<Member> = objects.iter().filter_map(Change::member).collect();
         self.set_registered(members.contains(&self.settings.member()));
@@ -153,6 +156,7 @@
         Some(peer::Response::from(&update).with_age(age))
     }
 
+    /// Returns all objects of a kind, for a peer.
     fn all_objects(&self, kind: Kind) -> Content {
         let objects = match kind {
             Kind::Config => vec![Change::Config(self.document.borrow().clone())],
