gateway, platform: all daemons together keep to the rate limits that servers state

Class of fault: what a server says of the load that it takes does not reach every place that sends to it.

Change: rate_limit divides a limit among the daemons that use the server, by what they report to one another; placement (first sends, retries, resumed streams, parts) stays within the share, calls for reservations are counted and renewed less often, low limits get no new reservation. The limit ends with a response to a later request that states none, or with a restart of the server. Log lines and metrics tell of each change.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -18,6 +18,7 @@
 use kumquattiller_base::size::Tokens;
 
 use crate::config::Config;
+use crate::rate_limit::Rate;
 
 /// Size of the prompt of a request to an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -81,7 +82,7 @@
 }
 
 /// Metadata of a server's response, parsed from its head.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Id of the request that it belongs to, if stated.
     pub id: Option<String>,
@@ -93,6 +94,8 @@
     pub leaving: bool,
     /// Time for which the server wants no further requests from this daemon.
     pub pause: Option<Duration>,
+    /// Rate of requests that the server takes from all daemons together, if it states one.
+    pub rate_limit: Option<Rate>,
     /// Address of the helper that caused the failure, if it is not the responding server itself.
     pub failed_server: Option<SocketAddr>,
     /// How long the server keeps the connection open.
--- a/crates/gateway/src/fleet/table.rs
+++ b/crates/gateway/src/fleet/table.rs
@@ -198,6 +198,11 @@
         self.members.get(id).map(|m| &m.server)
     }
 
+    /// Returns the server with this [`Server::start_key`].
+    pub fn by_start_key(&self, key: u64) -> Option<&runner::Id> {
+        self.by_start_key.get(&key)
+    }
+
     /// Returns the number of servers, including draining ones.
     pub fn len(&self) -> usize {
         self.members.len()
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The state of a daemon and its decisions about requests.
 
 mod copies;
+mod rate_limits;
 mod requests;
 mod role;
 mod shutdown;
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -80,6 +80,18 @@
     pub fn place(&self, request: &Request, tried: &[runner::Id]) -> Result<Placement, Declined> {
         let now = self.now();
         let candidates = self.candidates(request, tried, now);
+        let placement = self.choose(request, &candidates, now)?;
+        self.count_against_limits(&placement);
+        Ok(placement)
+    }
+
+    /// Chooses the servers for a request among the candidates.
+    fn choose(
+        &self,
+        request: &Request,
+        candidates: &[Candidate],
+        now: Moment,
+    ) -> Result<Placement, Declined> {
         match (&request.service.engine, &request.metadata.prompt) {
             (Some(profile), Some(prompt)) => {
                 let demand = self.ledger.borrow().demand(now);
@@ -93,12 +105,12 @@
                 };
                 place_prompt(
                     &prompt_request,
-                    &candidates,
+                    candidates,
                     &demand,
                     self.unreported_short_prompts(&demand),
                 )
             }
-            _ => place_plain(&candidates, rand::random()),
+            _ => place_plain(candidates, rand::random()),
         }
     }
 
@@ -124,23 +136,28 @@
         demand.short_per_s * others * report_interval(peers).as_secs_f64()
     }
 
-    /// Returns the time until a server of the request's service takes requests again, or `None` if
-    /// the service has no server that has asked for a pause.
-    pub fn pause_left(&self, request: &Request) -> Option<Duration> {
+    /// Returns the time until a server of the request's service takes requests of this daemon again,
+    /// or `None` if the service has no server that has asked for a pause or limits its rate.
+    pub fn time_until_accepted(&self, request: &Request) -> Option<Duration> {
         let (fleet, health, now) = (self.fleet.borrow(), self.health.borrow(), self.now());
+        let limits = self.rate_limits.borrow();
         let servers = fleet.usable(&request.service.name);
-        let pauses = servers.iter().map(|s| health.pause_left(&s.id, now));
-        pauses.filter(|pause| !pause.is_zero()).min()
+        let times = servers.iter().filter_map(|s| {
+            let until_within_limit = limits.time_left(&s.id, now)?;
+            Some(health.pause_left(&s.id, now).max(until_within_limit))
+        });
+        times.filter(|time| !time.is_zero()).min()
     }
 
-    /// Returns the servers that may get a request: none that has asked for a pause. Failing servers
-    /// are included only if no other is left.
+    /// Returns the servers that may get a request: none that has asked for a pause or has reached
+    /// its rate limit. Failing servers are included only if no other is left.
     fn candidates(&self, request: &Request, tried: &[runner::Id], now: Moment) -> Vec<Candidate> {
         let fleet = self.fleet.borrow();
         let mut usable = fleet.usable(&request.service.name);
         usable.retain(|s| !tried.contains(&s.id));
         let health = self.health.borrow();
         usable.retain(|s| health.pause_left(&s.id, now).is_zero());
+        self.retain_within_limits(&mut usable, is_reserving(request), now);
         if usable.iter().any(|s| health.is_usable(&s.id, now)) {
             usable.retain(|s| health.is_usable(&s.id, now));
         }
@@ -202,3 +219,11 @@
         Some(request.priority.saturating_mul(2).saturating_add(non_interactive).min(9))
     }
 }
+
+/// Returns whether a request reserves memory at its servers.
+fn is_reserving(request: &Request) -> bool {
+    match (&request.service.engine, &request.metadata.prompt) {
+        (Some(profile), Some(prompt)) => needs_joint(prompt, profile),
+        _ => false,
+    }
+}
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -35,6 +35,7 @@
 use crate::observe::State;
 use crate::peer;
 use crate::peer::Document;
+use crate::rate_limit;
 use crate::settings::Settings;
 use crate::stop::Phase;
 use crate::stop::Stop;
@@ -66,6 +67,7 @@
     pub(super) data_loaded: Notify,
     pub(super) ledger: RefCell<Ledger>,
     pub(super) health: RefCell<Health>,
+    pub(super) rate_limits: RefCell<rate_limit::Table>,
     /// When each server last sent part of a response.
     pub(super) last_heard: RefCell<HashMap<runner::Id, Moment>>,
     pub(super) suspects: RefCell<Suspects>,
@@ -110,6 +112,7 @@
             data_loaded: Notify::new(),
             ledger: RefCell::default(),
             health: RefCell::default(),
+            rate_limits: RefCell::default(),
             last_heard: RefCell::default(),
             suspects: RefCell::default(),
             budgets: RefCell::default(),
@@ -283,8 +286,10 @@
         self.ledger.borrow_mut().expire(now, known);
         self.pool.expire(now, known);
         self.health.borrow_mut().retain(known);
+        self.rate_limits.borrow_mut().expire(now, known);
         self.last_heard.borrow_mut().retain(|id, _| known(id));
         self.suspects.borrow_mut().expire(now);
+        self.update_rate_shares();
     }
 
     /// Returns the metrics in the text format.
@@ -295,6 +300,7 @@
             servers: self.fleet.borrow().len(),
             peers: self.peers_alive(),
             in_flight: self.ledger.borrow().len(),
+            rate_limited: self.rate_limits.borrow().limited(),
             role: self.role.get(),
             ages: freshness::Kind::iter().filter_map(|kind| Some((kind, age(kind)?))).collect(),
         })
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -90,6 +90,9 @@
             Change::Same => return,
             Change::Joined => {
                 self.health.borrow_mut().reset(id);
+                if let Some(server) = self.fleet.borrow().server(id) {
+                    self.rate_limits.borrow_mut().reset(id, server.start_key());
+                }
                 self.pool.close_server(id);
             }
             Change::Draining | Change::Gone | Change::Lapsed => {}
--- a/crates/gateway/src/http/place.rs
+++ b/crates/gateway/src/http/place.rs
@@ -59,14 +59,14 @@
     info!(
         target: "request", id = request.metadata.id, reason:% = declined, others, gain,
         prompt = request.metadata.prompt.map_or(0, |p| p.tokens.get()),
-        peers = gateway.peers_alive(),
+        peers = gateway.peers_alive(), rate_limited = gateway.rate_limits().borrow().limited(),
         ms = gateway.now().since(request.arrived).as_millis() as u64;
         "request could not be placed"
     );
     match declined {
         Declined::NoServer => {
-            let pause = gateway.pause_left(request).unwrap_or(NO_SERVER_RETRY_DELAY);
-            refuse_with_delay(attempt, Kind::NoRunner, pause)
+            let delay = gateway.time_until_accepted(request).unwrap_or(NO_SERVER_RETRY_DELAY);
+            refuse_with_delay(attempt, Kind::NoRunner, delay)
         }
         Declined::NoMemory | Declined::TooCostly { .. } => {
             refuse_with_delay(attempt, Kind::MemoryFull, gateway.memory_retry_delay(request))
--- a/crates/gateway/src/http/send.rs
+++ b/crates/gateway/src/http/send.rs
@@ -63,7 +63,7 @@
     };
     if let Some(pooled) = gateway.pool().take(&server.id, gateway.now(), max_idle) {
         let outgoing = build_request(gateway, request, server, helpers, resume_after);
-        if let Some(result) = exchange(gateway, pooled, outgoing).await {
+        if let Some(result) = exchange(gateway, request, server, pooled, outgoing).await {
             return result;
         }
     }
@@ -75,21 +75,27 @@
     gateway.metrics().connection_opened();
     let outgoing = build_request(gateway, request, server, helpers, resume_after);
     let not_sent = || Exchange::NotSent(io::ErrorKind::NotConnected.into());
-    exchange(gateway, connection, outgoing).await.unwrap_or_else(not_sent)
+    exchange(gateway, request, server, connection, outgoing).await.unwrap_or_else(not_sent)
 }
 
 /// Sends a request on a connection; returns `None` if the connection closed before anything was
 /// sent.
 async fn exchange(
     gateway: &Gateway,
+    request: &Request,
+    server: &Server,
     mut connection: Connection,
     outgoing: hyper::Request<Full<Bytes>>,
 ) -> Option<Exchange> {
+    let sent_at = gateway.now();
     match connection.sender.try_send_request(outgoing).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
             let info = gateway.dialect().response_info(head.status, &head.headers);
             gateway.apply_server_state(&connection.server, &info);
+            if info.rate_limit.is_some() || info.id.as_ref() == Some(&request.metadata.id) {
+                gateway.apply_rate_limit(server, info.rate_limit, sent_at);
+            }
             Some(Exchange::Received(Box::new(Received { connection, head, info, body })))
         }
         Err(mut error) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //!   servers may get work), [`freshness`] (how old the copies of the store are), [`changes`] (what
 //!   the copies lack), [`engine`] (prefill times of prompts), [`load`] (requests in flight per
 //!   server), [`placement`] (choice of server and helpers, or a refusal), [`budget`] (retries),
-//!   [`health`] (failing servers), [`suspect`] (requests that crash servers), [`events`] (splitting
+//!   [`health`] (failing servers), [`rate_limit`] (rates that servers state), [`suspect`] (requests that crash servers), [`events`] (splitting
 //!   streams into events), [`stop`] (phases of a graceful stop), [`pause`] (times in which the
 //!   process did not run);
 //! - I/O: [`http`] (the listener, connections to servers, handling of a request), [`relay`]
@@ -39,6 +39,7 @@
 pub mod pause;
 pub mod peer;
 pub mod placement;
+pub mod rate_limit;
 pub mod relay;
 pub mod reservation;
 pub mod settings;
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -42,6 +42,8 @@
     connections: Counter,
     servers_leaving: Counter,
     servers_paused: Counter,
+    rate_limits_stated: Counter,
+    rate_limited: Gauge,
     responses: Family<Label, Histogram, fn() -> Histogram>,
     first_event: Histogram,
     timer_delay: Histogram,
@@ -71,6 +73,8 @@
             connections: Counter::default(),
             servers_leaving: Counter::default(),
             servers_paused: Counter::default(),
+            rate_limits_stated: Counter::default(),
+            rate_limited: Gauge::default(),
             responses: Family::new_with_constructor(latency_histogram),
             first_event: latency_histogram(),
             timer_delay: latency_histogram(),
@@ -117,6 +121,16 @@
             "Pauses that servers asked for",
             self.servers_paused.clone(),
         );
+        registry.register(
+            "rate_limits_stated",
+            "Rate limits that servers stated, new or changed",
+            self.rate_limits_stated.clone(),
+        );
+        registry.register(
+            "rate_limited_servers",
+            "Servers that state a rate limit",
+            self.rate_limited.clone(),
+        );
         registry.register_with_unit(
             "answer",
             "Time to the whole answer",
@@ -197,6 +211,11 @@
         self.servers_paused.inc();
     }
 
+    /// Counts a rate limit that a server stated.
+    pub fn rate_limit_stated(&self) {
+        self.rate_limits_stated.inc();
+    }
+
     /// Observes the time to a complete response.
     pub fn response_completed(&self, streaming: bool, time: Duration) {
         let kind = if streaming { "stream" } else { "plain" };
@@ -224,6 +243,7 @@
         self.servers.set(state.servers as i64);
         self.peers.set(state.peers as i64);
         self.in_flight.set(state.in_flight as i64);
+        self.rate_limited.set(state.rate_limited as i64);
         self.store_watcher.set(i64::from(state.role == Some(Role::Watcher)));
         for (kind, age) in state.ages {
             let label = [("kind", kind.to_string())];
@@ -248,6 +268,8 @@
     pub peers: usize,
     /// Requests at servers.
     pub in_flight: usize,
+    /// Servers that state a rate limit.
+    pub rate_limited: usize,
     /// How the daemon learns of changes in the store, if that is known yet.
     pub role: Option<Role>,
     /// Ages of the copies of the store that were ever confirmed.
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -16,10 +16,12 @@
 use crate::load::server_key;
 use crate::pause;
 use crate::peer::Load;
+use crate::peer::RateLimit;
 use crate::peer::Recipients;
 use crate::peer::Report;
 use crate::peer::Serial;
 use crate::peer::fetch;
+use crate::rate_limit;
 use crate::stop::Phase;
 use crate::suspect;
 
@@ -27,6 +29,8 @@
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 /// Maximum number of suspects in a report.
 const MAX_SUSPECTS: usize = 24;
+/// Maximum number of rate limits in a report.
+const MAX_RATE_LIMITS: usize = 64;
 
 /// Sends and receives reports until the process exits.
 ///
@@ -135,9 +139,15 @@
         suspects: suspects.into_iter().map(Into::into).collect(),
         forward: false,
         origin: None,
+        rate_limits: rate_limits(gateway, now),
     }
 }
 
+fn rate_limits(gateway: &Gateway, now: Moment) -> Vec<RateLimit> {
+    let limits = gateway.rate_limits().borrow();
+    limits.reports(now).take(MAX_RATE_LIMITS).map(Into::into).collect()
+}
+
 /// Decodes a report from a peer, applies it, and forwards it if the peer asks for that.
 fn handle_datagram(gateway: &Rc<Gateway>, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
     let report = match Report::decode(bytes) {
@@ -194,6 +204,7 @@
         );
     }
     gateway.mark_reported_unusable_helpers(&report.unusable_helpers);
+    apply_rate_limits(gateway, id, &report.rate_limits);
     for confirmation in &report.confirmations {
         match confirmation.kind().try_into() {
             Ok(kind) => {
@@ -209,6 +220,17 @@
     }
 }
 
+fn apply_rate_limits(gateway: &Gateway, peer: &daemon::Id, limits: &[RateLimit]) {
+    let mut reports = Vec::new();
+    for limit in limits {
+        match rate_limit::Report::try_from(limit) {
+            Ok(report) => reports.push(report),
+            Err(error) => warn!(target: "peer", error:%, peer:%; "skipped a rate limit"),
+        }
+    }
+    gateway.merge_rate_limits(peer, &reports);
+}
+
 /// Records what a peer has, so that it can be asked for it.
 fn record_last_change(
     gateway: &Gateway,
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -5,6 +5,7 @@
 use crate::fleet;
 use crate::freshness;
 use crate::load;
+use crate::peer::RateLimit;
 use crate::suspect;
 use crate::suspect::Crash;
 use crate::suspect::Feature;
@@ -167,6 +168,9 @@
     /// Address of the daemon, if another one has forwarded the report.
     #[prost(string, optional, tag = "14")]
     pub origin: Option<String>,
+    /// Rate limits of servers that it knows.
+    #[prost(message, repeated, tag = "15")]
+    pub rate_limits: Vec<RateLimit>,
 }
 
 /// The state that a daemon sends to a peer that cannot get it from the store.
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -214,6 +214,13 @@
         self.peers.iter().filter(move |(_, p)| is_source(p)).map(|(id, _)| id)
     }
 
+    /// Returns the living peers that are not stopping.
+    pub fn serving(&self, now: Moment) -> impl Iterator<Item = &daemon::Id> {
+        let timeout = self.alive_timeout();
+        let is_serving = move |p: &Peer| p.is_alive(timeout, now) && !p.stopping;
+        self.peers.iter().filter(move |(_, p)| is_serving(p)).map(|(id, _)| id)
+    }
+
     /// Returns how many living peers come before `own` in the order of names.
     pub fn rank(&self, own: &daemon::Id, now: Moment) -> usize {
         let timeout = self.alive_timeout();
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -30,6 +30,8 @@
 const LIFETIME: Duration = Duration::from_millis(3_500);
 /// Interval between renewals.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval between renewals at a server that limits its rate.
+const LIMITED_RENEWAL_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Timeout of one call to a server.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Number of attempts to release a reservation.
@@ -117,18 +119,31 @@
 }
 
 async fn renew(gateway: Rc<Gateway>, held: Vec<(Server, Reservation)>) {
+    let mut renewed_at = vec![gateway.now(); held.len()];
     loop {
         tokio::time::sleep(RENEWAL_INTERVAL).await;
-        for (server, reservation) in &held {
+        for ((server, reservation), renewed_at) in held.iter().zip(&mut renewed_at) {
+            let now = gateway.now();
+            if now.since(*renewed_at) < renewal_interval(&gateway, server) {
+                continue;
+            }
             let status =
                 call(&gateway, server, |g| g.dialect().reserve(&server.id, reservation)).await;
-            if status != Some(StatusCode::OK) {
-                warn!(target: "fleet", server:% = server.id; "reservation was not renewed");
+            match status {
+                Some(StatusCode::OK) => *renewed_at = now,
+                _ => warn!(target: "fleet", server:% = server.id; "reservation was not renewed"),
             }
         }
     }
 }
 
+fn renewal_interval(gateway: &Gateway, server: &Server) -> Duration {
+    match gateway.is_rate_limited(&server.id) {
+        true => LIMITED_RENEWAL_INTERVAL,
+        false => RENEWAL_INTERVAL,
+    }
+}
+
 async fn release(gateway: Rc<Gateway>, server: Server, ticket: String) {
     for _ in 0..MAX_RELEASE_ATTEMPTS {
         if call(&gateway, &server, |g| g.dialect().release(&server.id, &ticket)).await.is_some() {
@@ -146,10 +161,13 @@
 ) -> Option<StatusCode> {
     let exchange = async {
         let mut connection = Connection::open(&server.id, server.address, CALL_TIMEOUT).await?;
+        gateway.count_reservation_call(&server.id);
+        let sent_at = gateway.now();
         let sent = connection.sender.send_request(request(gateway)).await;
         let response = sent.map_err(std::io::Error::other)?;
         let info = gateway.dialect().response_info(response.status(), response.headers());
         gateway.apply_server_state(&server.id, &info);
+        gateway.apply_rate_limit(server, info.rate_limit, sent_at);
         Ok::<_, std::io::Error>(response.status())
     };
     match timeout(CALL_TIMEOUT, exchange).await {
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -11,5 +11,6 @@
 mod pause;
 mod peers;
 mod placement;
+mod rate_limit;
 mod support;
 mod suspects;
