gateway: a server's pause outlives its registration

Cause: the pause stood in the health record of the server, which is discarded with its registration, though only a restart of the server ends what it has asked for. Change: backoff::Table holds pauses by the incarnation of the server and until they are over; a line tells of the end.

--- /dev/null
+++ b/crates/gateway/src/backoff.rs
@@ -0,0 +1,67 @@
+//! Pauses that servers ask for.
+//!
+//! A server that refuses a request may state for how long it wants no more of them from this daemon.
+//! The pause belongs to the incarnation of the server and not to its registration, which may be
+//! gone and come back meanwhile.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kumquattiller_base::runner;
+use kumquattiller_base::time::Moment;
+
+/// Longest pause that a server may ask for.
+const MAX_PAUSE: Duration = Duration::from_secs(300);
+
+#[derive(Debug)]
+struct Pause {
+    /// Identifies the incarnation of the server.
+    start_key: u64,
+    until: Moment,
+}
+
+/// The servers that have asked for a pause which is not over.
+#[derive(Debug, Default)]
+pub struct Table {
+    pauses: BTreeMap<runner::Id, Pause>,
+}
+
+impl Table {
+    /// Records that a server wants no requests for `pause`, of which five minutes are granted at
+    /// most. `start_key` identifies its incarnation. Returns the time, or `None` if an earlier pause
+    /// lasts longer.
+    pub fn ask(
+        &mut self,
+        server: &runner::Id,
+        start_key: u64,
+        pause: Duration,
+        now: Moment,
+    ) -> Option<Duration> {
+        self.reset(server, start_key);
+        let pause = pause.min(MAX_PAUSE);
+        let until = now + pause;
+        let is_longer = self.pauses.get(server).map_or(now, |p| p.until) < until;
+        if is_longer {
+            self.pauses.insert(server.clone(), Pause { start_key, until });
+        }
+        is_longer.then_some(pause)
+    }
+
+    /// Returns the time for which a server wants no requests, zero if it takes them.
+    pub fn left(&self, server: &runner::Id, now: Moment) -> Duration {
+        self.pauses.get(server).map_or(Duration::ZERO, |pause| pause.until.since(now))
+    }
+
+    /// Ends the pause of a server that has restarted.
+    pub fn reset(&mut self, server: &runner::Id, start_key: u64) {
+        if self.pauses.get(server).is_some_and(|pause| pause.start_key != start_key) {
+            self.pauses.remove(server);
+        }
+    }
+
+    /// Removes the pauses that are over; returns their servers.
+    pub fn expire(&mut self, now: Moment) -> Vec<runner::Id> {
+        let is_over = |pause: &Pause| pause.until <= now;
+        self.pauses.extract_if(.., |_, pause| is_over(pause)).map(|(id, _)| id).collect()
+    }
+}
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -139,12 +139,12 @@
     /// Returns the time until a server of the request's service takes requests of this daemon again,
     /// or `None` if the service has no server that has asked for a pause or limits its rate.
     pub fn time_until_accepted(&self, request: &Request) -> Option<Duration> {
-        let (fleet, health, now) = (self.fleet.borrow(), self.health.borrow(), self.now());
+        let (fleet, backoffs, now) = (self.fleet.borrow(), self.backoffs.borrow(), self.now());
         let limits = self.rate_limits.borrow();
         let servers = fleet.usable(&request.service.name);
         let times = servers.iter().filter_map(|s| {
             let until_within_limit = limits.time_left(&s.id, now)?;
-            Some(health.pause_left(&s.id, now).max(until_within_limit))
+            Some(backoffs.left(&s.id, now).max(until_within_limit))
         });
         times.filter(|time| !time.is_zero()).min()
     }
@@ -156,7 +156,8 @@
         let mut usable = fleet.usable(&request.service.name);
         usable.retain(|s| !tried.contains(&s.id));
         let health = self.health.borrow();
-        usable.retain(|s| health.pause_left(&s.id, now).is_zero());
+        let backoffs = self.backoffs.borrow();
+        usable.retain(|s| backoffs.left(&s.id, now).is_zero());
         self.retain_within_limits(&mut usable, is_reserving(request), now);
         if usable.iter().any(|s| health.is_usable(&s.id, now)) {
             usable.retain(|s| health.is_usable(&s.id, now));
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::backoff;
 use crate::budget::Budget;
 use crate::changes::History;
 use crate::config::Config;
@@ -67,6 +68,7 @@
     pub(super) data_loaded: Notify,
     pub(super) ledger: RefCell<Ledger>,
     pub(super) health: RefCell<Health>,
+    pub(super) backoffs: RefCell<backoff::Table>,
     pub(super) rate_limits: RefCell<rate_limit::Table>,
     /// When each server last sent part of a response.
     pub(super) last_heard: RefCell<HashMap<runner::Id, Moment>>,
@@ -112,6 +114,7 @@
             data_loaded: Notify::new(),
             ledger: RefCell::default(),
             health: RefCell::default(),
+            backoffs: RefCell::default(),
             rate_limits: RefCell::default(),
             last_heard: RefCell::default(),
             suspects: RefCell::default(),
@@ -281,6 +284,9 @@
         for id in self.fleet.borrow_mut().expire(now) {
             info!(target: "fleet", server:% = id; "server with a lapsed registration removed");
         }
+        for id in self.backoffs.borrow_mut().expire(now) {
+            info!(target: "fleet", server:% = id; "the pause of the server is over");
+        }
         let fleet = self.fleet.borrow();
         let known = |id: &runner::Id| fleet.server(id).is_some();
         self.ledger.borrow_mut().expire(now, known);
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -91,6 +91,7 @@
             Change::Joined => {
                 self.health.borrow_mut().reset(id);
                 if let Some(server) = self.fleet.borrow().server(id) {
+                    self.backoffs.borrow_mut().reset(id, server.start_key());
                     self.rate_limits.borrow_mut().reset(id, server.start_key());
                 }
                 self.pool.close_server(id);
@@ -103,14 +104,22 @@
 
     /// Applies what a server says of itself in a response: that it is leaving, or that it wants no
     /// requests for a while.
-    pub fn apply_server_state(&self, id: &runner::Id, info: &ResponseInfo) {
+    pub fn apply_server_state(&self, server: &fleet::Server, info: &ResponseInfo) {
         if info.leaving {
-            self.mark_leaving(id);
+            self.mark_leaving(&server.id);
         }
-        let pause = info.pause.and_then(|p| self.health.borrow_mut().pause(id, p, self.now()));
-        if let Some(pause) = pause {
-            let ms = pause.as_millis() as u64;
-            info!(target: "fleet", server:% = id, ms; "the server asks for a pause");
+        if let Some(pause) = info.pause {
+            self.pause_server(server, pause);
+        }
+    }
+
+    /// Records that a server wants no requests for a while.
+    fn pause_server(&self, server: &fleet::Server, pause: Duration) {
+        let (start_key, now) = (server.start_key(), self.now());
+        let granted = self.backoffs.borrow_mut().ask(&server.id, start_key, pause, now);
+        if let Some(granted) = granted {
+            let ms = granted.as_millis() as u64;
+            info!(target: "fleet", server:% = server.id, ms; "the server asks for a pause");
             self.metrics.server_paused();
         }
     }
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -19,8 +19,6 @@
 /// Exclusion time of a server that a peer reports as an unusable helper. It is short because the
 /// peer repeats the report.
 const PEER_REPORT_EXCLUSION: Duration = Duration::from_millis(500);
-/// Longest pause that a server may ask for.
-const MAX_PAUSE: Duration = Duration::from_secs(300);
 /// Weight of the latest attempt in a server's failure rate.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Failure rate above the mean of the other servers from which a server is excluded.
@@ -53,8 +51,6 @@
 struct Record {
     excluded_until: Moment,
     unusable_until: Moment,
-    /// Time until which the server wants no requests from this daemon.
-    paused_until: Moment,
     /// Time until which peers reported it as an unusable helper.
     peer_unusable_until: Moment,
     consecutive_failures: u32,
@@ -113,21 +109,6 @@
         })
     }
 
-    /// Records that a server wants no requests for `pause`, of which five minutes are granted at
-    /// most. Returns the time, or `None` if an earlier pause lasts longer.
-    pub fn pause(&mut self, server: &runner::Id, pause: Duration, now: Moment) -> Option<Duration> {
-        let pause = pause.min(MAX_PAUSE);
-        let record = self.records.entry(server.clone()).or_default();
-        let is_longer = now + pause > record.paused_until;
-        record.paused_until = record.paused_until.max(now + pause);
-        is_longer.then_some(pause)
-    }
-
-    /// Returns the time for which a server wants no requests, zero if it takes them.
-    pub fn pause_left(&self, server: &runner::Id, now: Moment) -> Duration {
-        self.records.get(server).map_or(Duration::ZERO, |r| r.paused_until.since(now))
-    }
-
     /// Returns the servers that this daemon found to be unusable as helpers, to report to peers.
     pub fn unusable_helpers(&self, now: Moment) -> impl Iterator<Item = &runner::Id> {
         self.records.iter().filter(move |(_, r)| r.unusable_until > now).map(|(id, _)| id)
--- a/crates/gateway/src/http/send.rs
+++ b/crates/gateway/src/http/send.rs
@@ -92,7 +92,7 @@
         Ok(response) => {
             let (head, body) = response.into_parts();
             let info = gateway.dialect().response_info(head.status, &head.headers);
-            gateway.apply_server_state(&connection.server, &info);
+            gateway.apply_server_state(server, &info);
             if info.rate_limit.is_some() || info.id.as_ref() == Some(&request.metadata.id) {
                 gateway.apply_rate_limit(server, info.rate_limit, sent_at);
             }
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -166,7 +166,7 @@
         let sent = connection.sender.send_request(request(gateway)).await;
         let response = sent.map_err(std::io::Error::other)?;
         let info = gateway.dialect().response_info(response.status(), response.headers());
-        gateway.apply_server_state(&server.id, &info);
+        gateway.apply_server_state(server, &info);
         gateway.apply_rate_limit(server, info.rate_limit, sent_at);
         Ok::<_, std::io::Error>(response.status())
     };
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decisions, without network I/O.
 
+mod backoff;
 mod changes;
 mod config;
 mod decisions;
