gateway: what was placed before a server's pause is not sent in it

Cause: only placement asked about pauses, and reservations and connections take up to two seconds between it and the send. Change: send asks before it takes a connection and again after it opened one, and the attempt goes to another server with the proof that nothing was sent; no further reservation is made at a server in a pause.

--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Returns whether a server wants no requests now.
+    pub fn is_paused(&self, server: &runner::Id) -> bool {
+        !self.backoffs.borrow().left(server, self.now()).is_zero()
+    }
+
     /// Records that a server wants no requests for a while.
     fn pause_server(&self, server: &fleet::Server, pause: Duration) {
         let (start_key, now) = (server.start_key(), self.now());
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -43,7 +43,7 @@
     Final(Response<Body>),
     /// The server proved that the request did not run.
     NotRun,
-    /// Nothing was sent, since no connection could be opened or the server is unknown.
+    /// Nothing was sent, since no connection could be opened, or the server is unknown or paused.
     NotSent,
     /// The request may have run; holds the response of the server to pass on, if there is one.
     Failed(Option<Response<Body>>),
@@ -165,6 +165,10 @@
             dispatch.record_error(Outcome::Unreachable, &error);
             AttemptResult::NotSent
         }
+        Exchange::Paused => {
+            dispatch.log_paused();
+            AttemptResult::NotSent
+        }
         Exchange::ConnectionLost(error) => {
             dispatch.record_error(Outcome::Broken, &error);
             gateway.check_server_exit(request, &dispatch.placement().server);
--- a/crates/gateway/src/http/send.rs
+++ b/crates/gateway/src/http/send.rs
@@ -42,12 +42,17 @@
     Received(Box<Received>),
     /// Nothing was sent.
     NotSent(io::Error),
+    /// Nothing was sent, since the server has asked for a pause after the request was placed.
+    Paused,
     /// The connection was lost after part of the request was sent.
     ConnectionLost(hyper::Error),
 }
 
 /// Sends a request to a server and waits for the head of the response.
 ///
+/// A server that asks for a pause gets nothing, also if it did so after the request was placed or
+/// while the connection was opened.
+///
 /// If a pooled connection was closed before anything was sent, the request is sent on a new one.
 /// The wait has no timeout of its own. Dropping the returned future closes the connection.
 pub async fn send(
@@ -57,6 +62,9 @@
     helpers: &[Helper],
     resume_after: Option<&[u8]>,
 ) -> Exchange {
+    if gateway.is_paused(&server.id) {
+        return Exchange::Paused;
+    }
     let max_idle = match request.route.retry {
         Retry::Never => MAX_IDLE_WITHOUT_RETRY,
         Retry::Whole | Retry::Rest => Duration::MAX,
@@ -73,6 +81,9 @@
         Err(error) => return Exchange::NotSent(error),
     };
     gateway.metrics().connection_opened();
+    if gateway.is_paused(&server.id) {
+        return Exchange::Paused;
+    }
     let outgoing = build_request(gateway, request, server, helpers, resume_after);
     let not_sent = || Exchange::NotSent(io::ErrorKind::NotConnected.into());
     exchange(gateway, request, server, connection, outgoing).await.unwrap_or_else(not_sent)
--- a/crates/gateway/src/relay/dispatch.rs
+++ b/crates/gateway/src/relay/dispatch.rs
@@ -124,6 +124,14 @@
         self.gateway.metrics().response_completed(self.request.route.streaming, time);
     }
 
+    /// Logs that nothing was sent, since the server has asked for a pause after the placement.
+    pub fn log_paused(&self) {
+        info!(
+            target: "request", id = self.request.metadata.id, server:% = self.placement.server;
+            "not sent, the server has asked for a pause"
+        );
+    }
+
     fn log_outcome(&self, outcome: Outcome, why: &str) {
         let now = self.gateway.now();
         info!(
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -79,6 +79,13 @@
         let ticket_id: u64 = rand::random();
         for (id, tokens) in parts {
             let server = gateway.fleet().borrow().server(&id).cloned()?;
+            if gateway.is_paused(&id) {
+                info!(
+                    target: "request", id = request, server:% = id;
+                    "memory is not reserved, the server has asked for a pause"
+                );
+                return None;
+            }
             let ticket = format!("{ticket_id:016x}");
             let reservation = Reservation { ticket, tokens, hold: LIFETIME };
             reservations.held.push((server.clone(), reservation.clone()));
