gateway: reservations at a server in a pause take two calls at most

Cause: renewals and releases never asked about pauses. Change: in a pause a reservation is renewed once, for long enough to outlast it, and released within the two calls that backoff::Table allows, or after the pause, or left to expire. A renewal that is not allowed lets the reservation lapse, and the prompt moves on as after any loss.

reservation.rs is a folder now: calls, held reservations and renewals have files of their own.

--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -10,6 +10,8 @@
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
 
+/// Number of calls that a server may get in a pause, for requests that it already runs.
+const MAX_CALLS: u32 = 2;
 /// Longest pause that a server may ask for.
 const MAX_PAUSE: Duration = Duration::from_secs(300);
 
@@ -18,6 +20,8 @@
     /// Identifies the incarnation of the server.
     start_key: u64,
     until: Moment,
+    /// Number of calls that it got meanwhile.
+    calls: u32,
 }
 
 /// The servers that have asked for a pause which is not over.
@@ -40,10 +44,13 @@
         self.reset(server, start_key);
         let pause = pause.min(MAX_PAUSE);
         let until = now + pause;
-        let is_longer = self.pauses.get(server).map_or(now, |p| p.until) < until;
-        if is_longer {
-            self.pauses.insert(server.clone(), Pause { start_key, until });
+        let new = Pause { start_key, until: now, calls: 0 };
+        let current = self.pauses.entry(server.clone()).or_insert(new);
+        if current.until <= now {
+            current.calls = 0;
         }
+        let is_longer = current.until < until;
+        current.until = current.until.max(until);
         is_longer.then_some(pause)
     }
 
@@ -52,6 +59,16 @@
         self.pauses.get(server).map_or(Duration::ZERO, |pause| pause.until.since(now))
     }
 
+    /// Returns whether a server may get a call that cannot wait, and counts it: outside a pause
+    /// always, in a pause twice.
+    pub fn allow_call(&mut self, server: &runner::Id, now: Moment) -> bool {
+        let Some(pause) = self.pauses.get_mut(server).filter(|pause| pause.until > now) else {
+            return true;
+        };
+        pause.calls += 1;
+        pause.calls <= MAX_CALLS
+    }
+
     /// Ends the pause of a server that has restarted.
     pub fn reset(&mut self, server: &runner::Id, start_key: u64) {
         if self.pauses.get(server).is_some_and(|pause| pause.start_key != start_key) {
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -113,9 +113,20 @@
         }
     }
 
+    /// Returns the time for which a server wants no requests, zero if it takes them.
+    pub fn pause_left(&self, server: &runner::Id) -> Duration {
+        self.backoffs.borrow().left(server, self.now())
+    }
+
     /// Returns whether a server wants no requests now.
     pub fn is_paused(&self, server: &runner::Id) -> bool {
-        !self.backoffs.borrow().left(server, self.now()).is_zero()
+        !self.pause_left(server).is_zero()
+    }
+
+    /// Returns whether a server may get a call for a request that it runs, and counts it against
+    /// those that it gets in a pause.
+    pub fn allow_call(&self, server: &runner::Id) -> bool {
+        self.backoffs.borrow_mut().allow_call(server, self.now())
     }
 
     /// Records that a server wants no requests for a while.
--- /dev/null
+++ b/crates/gateway/src/reservation/held.rs
@@ -0,0 +1,97 @@
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use kumquattiller_base::time::Moment;
+use log::info;
+use log::warn;
+
+use crate::Gateway;
+use crate::dialect::Reservation;
+use crate::fleet::Server;
+use crate::reservation::call;
+use crate::reservation::renewal;
+
+/// Number of attempts to release a reservation.
+const MAX_RELEASE_ATTEMPTS: u32 = 3;
+
+/// A reservation that a server holds, or may hold if it did not respond. Clones stand for the same
+/// one.
+#[derive(Debug, Clone)]
+pub(super) struct Held {
+    pub(super) server: Server,
+    pub(super) reservation: Reservation,
+    expires_at: Rc<Cell<Moment>>,
+}
+
+impl Held {
+    /// Creates a reservation that is being made now.
+    pub(super) fn new(server: Server, reservation: Reservation, now: Moment) -> Self {
+        let expires_at = Rc::new(Cell::new(now + reservation.hold));
+        Self { server, reservation, expires_at }
+    }
+
+    /// Makes the reservation; returns the status, or `None` if there is no response.
+    pub(super) async fn make(&self, gateway: &Gateway) -> Option<StatusCode> {
+        self.reserve(gateway, &self.reservation).await
+    }
+
+    async fn reserve(&self, gateway: &Gateway, reservation: &Reservation) -> Option<StatusCode> {
+        let server = &self.server;
+        call(gateway, server, |g| g.dialect().reserve(&server.id, reservation)).await
+    }
+
+    /// Renews the reservation if that is due. In a pause of the server the renewal has to last until
+    /// the pause is over.
+    pub(super) async fn renew_if_due(&self, gateway: &Gateway) {
+        let now = gateway.now();
+        let pause = gateway.pause_left(&self.server.id);
+        let is_limited = gateway.is_rate_limited(&self.server.id);
+        let Some(hold) = renewal::due(self.expires_at.get().since(now), pause, is_limited) else {
+            return;
+        };
+        if !gateway.allow_call(&self.server.id) {
+            return;
+        }
+        let renewed = Reservation { hold, ..self.reservation.clone() };
+        match self.reserve(gateway, &renewed).await {
+            Some(StatusCode::OK) => self.expires_at.set(now + hold),
+            _ => warn!(target: "fleet", server:% = self.server.id; "reservation was not renewed"),
+        }
+    }
+
+    /// Releases the reservation, unless it expires before the server may be called.
+    pub(super) async fn release(self, gateway: &Gateway) {
+        for _ in 0..MAX_RELEASE_ATTEMPTS {
+            if !self.wait_until_allowed(gateway).await {
+                info!(
+                    target: "fleet", server:% = self.server.id;
+                    "reservation is left to expire during the pause of its server"
+                );
+                return;
+            }
+            let (server, ticket) = (&self.server, &self.reservation.ticket);
+            if call(gateway, server, |g| g.dialect().release(&server.id, ticket)).await.is_some() {
+                return;
+            }
+        }
+        warn!(
+            target: "fleet", server:% = self.server.id, ticket = self.reservation.ticket;
+            "reservation could not be released"
+        );
+    }
+
+    /// Waits until the server may be called; returns whether the reservation is still held then.
+    async fn wait_until_allowed(&self, gateway: &Gateway) -> bool {
+        while !gateway.allow_call(&self.server.id) {
+            let left = self.expires_at.get().since(gateway.now());
+            if left.is_zero() {
+                return false;
+            }
+            let pause = gateway.pause_left(&self.server.id);
+            tokio::time::sleep(pause.min(left).max(Duration::from_millis(1))).await;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/reservation/mod.rs
@@ -0,0 +1,22 @@
+//! Reservations of server memory for the parts of a prompt that exceeds the memory of one engine.
+//!
+//! The daemon generates the id of a reservation, its ticket, and sends it with the request to the
+//! server that runs it, together with the address of the helper that holds the memory.
+//!
+//! A reservation expires after a short time and is renewed while the request is in progress, so
+//! that a daemon that crashes or freezes does not block memory for long. The reservations of a
+//! request are made one after the other, ordered by server id. No server queues a reservation:
+//! either all succeed at once or all are released.
+//!
+//! A server that has asked for a pause gets no new reservation. One that it already holds is renewed
+//! once, until after the pause, and released when the server may be called.
+
+mod call;
+mod held;
+pub mod renewal;
+mod reservations;
+
+use call::call;
+use held::Held;
+pub use reservations::NoMemory;
+pub use reservations::Reservations;
--- /dev/null
+++ b/crates/gateway/src/reservation/reservations.rs
@@ -0,0 +1,114 @@
+use std::rc::Rc;
+
+use hyper::StatusCode;
+use kumquattiller_base::runner;
+use kumquattiller_base::size::Tokens;
+use log::info;
+use tokio::task::JoinHandle;
+
+use crate::Gateway;
+use crate::dialect::Reservation;
+use crate::placement::Placement;
+use crate::reservation::Held;
+use crate::reservation::renewal;
+use crate::reservation::renewal::LIFETIME;
+
+/// The reservations of one request, which are released on drop.
+#[derive(Debug)]
+pub struct Reservations {
+    gateway: Rc<Gateway>,
+    held: Vec<Held>,
+    renewal: Option<JoinHandle<()>>,
+}
+
+/// Error for a reservation that a server refused or did not confirm in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoMemory;
+
+impl Reservations {
+    /// Reserves the memory that a placement needs at its holders; returns `None` if it has no
+    /// holders.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a reservation fails. Reservations made before it are released.
+    pub async fn make(
+        gateway: &Rc<Gateway>,
+        request: &str,
+        placement: &Placement,
+    ) -> Result<Option<Self>, NoMemory> {
+        if placement.holders.is_empty() {
+            return Ok(None);
+        }
+        Self::reserve(gateway, request, &placement.holders).await.map(Some).ok_or(NoMemory)
+    }
+
+    /// Reserves memory at each server; returns `None` and releases everything if one of them fails.
+    async fn reserve(
+        gateway: &Rc<Gateway>,
+        request: &str,
+        parts: &[(runner::Id, Tokens)],
+    ) -> Option<Self> {
+        let mut reservations = Self { gateway: gateway.clone(), held: Vec::new(), renewal: None };
+        let mut parts = parts.to_vec();
+        parts.sort();
+        let ticket_id: u64 = rand::random();
+        for (id, tokens) in parts {
+            let server = gateway.fleet().borrow().server(&id).cloned()?;
+            if gateway.is_paused(&id) {
+                info!(
+                    target: "request", id = request, server:% = id;
+                    "memory is not reserved, the server has asked for a pause"
+                );
+                return None;
+            }
+            let ticket = format!("{ticket_id:016x}");
+            let reservation = Reservation { ticket, tokens, hold: LIFETIME };
+            let held = Held::new(server, reservation, gateway.now());
+            reservations.held.push(held.clone());
+            let status = held.make(gateway).await;
+            if status != Some(StatusCode::OK) {
+                let status = status.map_or(0, |s| s.as_u16());
+                info!(
+                    target: "request", id = request, server:% = id, tokens:%, status;
+                    "memory could not be reserved"
+                );
+                return None;
+            }
+        }
+        info!(
+            target: "request", id = request, servers = reservations.held.len();
+            "memory reserved"
+        );
+        reservations.renewal =
+            Some(tokio::task::spawn_local(renew(gateway.clone(), reservations.held.clone())));
+        Some(reservations)
+    }
+
+    /// Returns the ticket of the reservation at a server.
+    pub fn at(&self, server: &runner::Id) -> Option<String> {
+        let at_server = self.held.iter().find(|held| held.server.id == *server);
+        at_server.map(|held| held.reservation.ticket.clone())
+    }
+}
+
+impl Drop for Reservations {
+    fn drop(&mut self) {
+        if let Some(renewal) = self.renewal.take() {
+            renewal.abort();
+        }
+        for held in self.held.drain(..) {
+            let gateway = self.gateway.clone();
+            tokio::task::spawn_local(async move { held.release(&gateway).await });
+        }
+    }
+}
+
+async fn renew(gateway: Rc<Gateway>, held: Vec<Held>) {
+    loop {
+        tokio::time::sleep(renewal::CHECK_INTERVAL).await;
+        for reservation in &held {
+            reservation.renew_if_due(&gateway).await;
+        }
+    }
+}
--- a/crates/gateway/tests/testsuite/backoff.rs
+++ b/crates/gateway/tests/testsuite/backoff.rs
@@ -1,10 +1,12 @@
-//! Pauses that servers ask for.
+//! Pauses that servers ask for, and renewals of reservations in them.
 
 use std::time::Duration;
 
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
 use kumquattiller_gateway::backoff::Table;
+use kumquattiller_gateway::reservation::renewal;
+use test_case::test_case;
 
 /// Identifies the incarnation of the server.
 const START_KEY: u64 = 7;
@@ -54,3 +56,30 @@
     table.reset(&server(), START_KEY + 1);
     assert_eq!(table.left(&server(), Moment::ZERO), Duration::ZERO);
 }
+
+#[test]
+fn two_calls_are_allowed_in_a_pause_and_all_outside_it() {
+    let mut table = paused();
+    let now = Moment::from_millis(1_000);
+    assert!(table.allow_call(&server(), now));
+    assert!(table.allow_call(&server(), now));
+    assert!(!table.allow_call(&server(), now));
+    table.ask(&server(), START_KEY, PAUSE, now);
+    assert!(!table.allow_call(&server(), now), "the earlier pause is not over");
+    let later = Moment::from_millis(4_000);
+    assert!(table.allow_call(&server(), later));
+    table.ask(&server(), START_KEY, PAUSE, later);
+    assert!(table.allow_call(&server(), later), "a pause of its own");
+}
+
+#[test_case(2_600, 0, false, None; "not due yet")]
+#[test_case(2_500, 0, false, Some(3_500); "a second after the last renewal")]
+#[test_case(2_500, 0, true, None; "later at a server that limits its rate")]
+#[test_case(1_500, 0, true, Some(3_500); "two seconds after the last renewal")]
+#[test_case(2_900, 3_000, false, Some(4_000); "it would expire in the pause")]
+#[test_case(4_000, 3_000, false, None; "it lasts beyond the pause")]
+#[test_case(3_000, 100_000, false, Some(20_000); "no longer than servers grant")]
+fn a_reservation_is_renewed(left_ms: u64, pause_ms: u64, limited: bool, expected_ms: Option<u64>) {
+    let (left, pause) = (Duration::from_millis(left_ms), Duration::from_millis(pause_ms));
+    assert_eq!(renewal::due(left, pause, limited), expected_ms.map(Duration::from_millis));
+}
