gateway: a server that has left stays out when its registration comes back

What was seen: a server stated that it was leaving, its registration went, the store came back from an older copy with the registration, and the server got requests again (a_server_that_has_left_gets_no_request_although_its_entry_is_back and a_drained_server_gets_no_work_when_its_registration_is_gone_and_comes_back; both failed on: 5 requests of 4, and [a, b] usable). Change: incarnations that drained are kept for a minute after their registration is gone, and reported to peers.

--- a/crates/gateway/src/fleet/table.rs
+++ b/crates/gateway/src/fleet/table.rs
@@ -22,6 +22,10 @@
 /// It is short because the server may in fact be draining.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(1_200);
 
+/// Time for which an incarnation that has left is remembered: the store may be restored from a copy
+/// that still has its registration.
+const LEFT_RETENTION: Duration = Duration::from_secs(60);
+
 /// Effect of a registration event, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -55,6 +59,8 @@
     /// Incarnations, by [`Server::start_key`], that peers reported as draining before this daemon
     /// saw it.
     peer_draining: BTreeSet<u64>,
+    /// Draining incarnations whose registrations are gone, by [`Server::start_key`], and since when.
+    left: BTreeMap<u64, Moment>,
     store_regained_at: Option<Moment>,
 }
 
@@ -74,7 +80,10 @@
         let old = self.members.get(&server.id);
         let was_draining =
             old.is_some_and(|o| o.start_key == start_key && o.status == Status::Draining);
-        let draining = server.draining || was_draining || self.peer_draining.contains(&start_key);
+        let draining = server.draining
+            || was_draining
+            || self.peer_draining.contains(&start_key)
+            || self.left.contains_key(&start_key);
         let status = if draining { Status::Draining } else { Status::Ready };
         let change = match old {
             Some(old) if old.server.started_ms != server.started_ms => Change::Joined,
@@ -100,7 +109,7 @@
             member.status = Status::Lapsed(until);
             return Change::Lapsed;
         }
-        self.forget(id);
+        self.forget(id, now);
         Change::Gone
     }
 
@@ -138,10 +147,12 @@
         new
     }
 
-    /// Returns the [`Server::start_key`]s of draining servers, to report to peers.
+    /// Returns the [`Server::start_key`]s of draining servers and of those that have left, to report
+    /// to peers.
     pub fn draining_keys(&self) -> Vec<u64> {
         let is_draining = |m: &&Member| m.status == Status::Draining;
-        self.members.values().filter(is_draining).map(|m| m.start_key).collect()
+        let draining = self.members.values().filter(is_draining).map(|m| m.start_key);
+        draining.chain(self.left.keys().copied()).collect()
     }
 
     /// Removes the lapsed registrations that were not renewed in time; returns their ids.
@@ -150,16 +161,21 @@
         let gone: Vec<runner::Id> =
             self.members.iter().filter(|(_, m)| is_expired(m)).map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            self.forget(id);
+            self.forget(id, now);
         }
+        self.left.retain(|_, since| now.since(*since) <= LEFT_RETENTION);
         self.peer_draining.retain(|key| self.by_start_key.contains_key(key));
         gone
     }
 
-    /// Removes a server from both indexes.
-    fn forget(&mut self, id: &runner::Id) {
-        if let Some(member) = self.members.remove(id) {
-            self.by_start_key.remove(&member.start_key);
+    /// Removes a server from both indexes; remembers its incarnation if it was draining.
+    fn forget(&mut self, id: &runner::Id, now: Moment) {
+        let Some(member) = self.members.remove(id) else {
+            return;
+        };
+        self.by_start_key.remove(&member.start_key);
+        if member.status == Status::Draining {
+            self.left.insert(member.start_key, now);
         }
     }
 
--- a/crates/gateway/tests/testsuite/fleet.rs
+++ b/crates/gateway/tests/testsuite/fleet.rs
@@ -56,6 +56,19 @@
     assert_eq!((change, usable(&table)), (Change::Draining, vec!["b".to_owned()]));
 }
 
+#[test]
+fn a_drained_server_gets_no_work_when_its_registration_is_gone_and_comes_back() {
+    let mut table = table();
+    table.put(Server { draining: true, ..server("a") });
+    assert_eq!(table.remove(&id("a"), later(0)), Change::Gone);
+    table.expire(later(5_000));
+    table.put(server("a"));
+    assert_eq!(usable(&table), ["b"]);
+    assert!(table.draining_keys().contains(&server("a").start_key()), "peers are told");
+    table.put(Server { started_ms: Some(2), ..server("a") });
+    assert_eq!(usable(&table), ["a", "b"], "it has restarted");
+}
+
 #[test]
 fn a_removed_server_gets_no_work() {
     let mut table = table();
