gateway: a limit on what a server sends before the head of its response

Cause: hyper reads any number of informational responses, each a small parse on the daemon's one thread, so timers come late; until the timeout nothing ends the flood. Change: a connection takes 1 MiB before the head of a response, then it fails and the request goes to another server.

--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod body;
 mod dial;
+mod head_limit;
 mod listener;
 mod place;
 mod pool;
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use kumquattiller_base::runner;
@@ -13,6 +15,7 @@
 use tokio::task::JoinHandle;
 
 use crate::http::dial;
+use crate::http::head_limit;
 
 /// Maximum time for which an idle connection is kept.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(2_500);
@@ -26,8 +29,8 @@
 pub struct Connection {
     /// The server to which it is open.
     pub server: runner::Id,
-    /// Sends requests, one at a time.
-    pub sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Full<Bytes>>,
+    head_allowance: head_limit::Allowance,
     task: JoinHandle<()>,
 }
 
@@ -43,6 +46,8 @@
         limit: Duration,
     ) -> io::Result<Self> {
         let stream = dial(address, limit).await?;
+        let head_allowance = head_limit::Allowance::default();
+        let stream = head_limit::Limited::new(stream, head_allowance.clone());
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         let id = server.clone();
@@ -54,7 +59,23 @@
                 );
             }
         });
-        Ok(Self { server: server.clone(), sender, task })
+        Ok(Self { server: server.clone(), sender, head_allowance, task })
+    }
+
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection does, or if too much arrives before the head. The error holds the
+    /// request if nothing of it was sent.
+    pub async fn send(
+        &mut self,
+        request: hyper::Request<Full<Bytes>>,
+    ) -> Result<hyper::Response<Incoming>, TrySendError<hyper::Request<Full<Bytes>>>> {
+        self.head_allowance.await_head();
+        let response = self.sender.try_send_request(request).await;
+        self.head_allowance.end();
+        response
     }
 }
 
--- a/crates/gateway/src/http/send.rs
+++ b/crates/gateway/src/http/send.rs
@@ -99,7 +99,7 @@
     outgoing: hyper::Request<Full<Bytes>>,
 ) -> Option<Exchange> {
     let sent_at = gateway.now();
-    match connection.sender.try_send_request(outgoing).await {
+    match connection.send(outgoing).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
             let info = gateway.dialect().response_info(head.status, &head.headers);
--- a/crates/gateway/src/reservation/call.rs
+++ b/crates/gateway/src/reservation/call.rs
@@ -24,8 +24,8 @@
         let mut connection = Connection::open(&server.id, server.address, TIMEOUT).await?;
         gateway.count_reservation_call(&server.id);
         let sent_at = gateway.now();
-        let sent = connection.sender.send_request(request(gateway)).await;
-        let response = sent.map_err(io::Error::other)?;
+        let sent = connection.send(request(gateway)).await;
+        let response = sent.map_err(|error| io::Error::other(error.into_error()))?;
         let info = gateway.dialect().response_info(response.status(), response.headers());
         gateway.apply_server_state(server, &info);
         gateway.apply_rate_limit(server, info.rate_limit, sent_at);
