gateway: the end of a rate limit is not undone by a peer's older statement; names

Found by reading: a daemon went on reporting the limit that a server had once stated to it after a peer had told it of the end; a peer that had forgotten the limit would have taken it for new. Test a_statement_is_not_repeated_after_a_newer_one_of_a_peer, failed before.

--- a/crates/gateway/src/gateway/rate_limits.rs
+++ b/crates/gateway/src/gateway/rate_limits.rs
@@ -1,5 +1,6 @@
 //! Rate limits that servers state, and this daemon's shares of them.
 
+use std::cell::RefCell;
 use std::time::Duration;
 
 use kumquattiller_base::daemon;
@@ -25,7 +26,7 @@
 
 impl Gateway {
     /// Returns the rate limits of the servers.
-    pub const fn rate_limits(&self) -> &std::cell::RefCell<rate_limit::Table> {
+    pub const fn rate_limits(&self) -> &RefCell<rate_limit::Table> {
         &self.rate_limits
     }
 
@@ -36,7 +37,10 @@
             return;
         }
         let (start_key, now) = (server.start_key(), self.now());
-        let change = self.rate_limits.borrow_mut().state(&server.id, start_key, rate, sent_at, now);
+        let change = self
+            .rate_limits
+            .borrow_mut()
+            .record_statement(&server.id, start_key, rate, sent_at, now);
         if let Some(change) = change {
             self.log_rate_limit(&server.id, change, "response");
             self.update_rate_shares();
@@ -100,9 +104,9 @@
         if limits.is_empty() {
             return;
         }
-        let mut is_news = false;
+        let mut is_new_user = false;
         servers.retain(|s| {
-            is_news |= limits.want(&s.id, now);
+            is_new_user |= limits.record_demand(&s.id, now);
             let is_open = limits.is_open(&s.id, now);
             let may_reserve = || {
                 let share = limits.share(&s.id);
@@ -110,7 +114,7 @@
             };
             is_open && (!is_reserving || may_reserve())
         });
-        if is_news {
+        if is_new_user {
             self.request_report();
         }
     }
--- a/crates/gateway/src/rate_limit/entry.rs
+++ b/crates/gateway/src/rate_limit/entry.rs
@@ -28,6 +28,13 @@
     at: Moment,
 }
 
+/// A time in which this daemon has had requests for a server.
+#[derive(Debug, Clone, Copy)]
+struct Use {
+    since: Moment,
+    last: Moment,
+}
+
 /// What is known of the limit of one server.
 #[derive(Debug)]
 pub(super) struct Entry {
@@ -36,8 +43,7 @@
     latest: Dated,
     /// What the server stated to this daemon itself.
     own: Option<Dated>,
-    /// When this daemon began to use the server, and when it last did.
-    used: Option<(Moment, Moment)>,
+    current_use: Option<Use>,
     /// Peers that know of the limit and do not use the server.
     not_using: BTreeSet<daemon::Id>,
     /// This daemon's part of the rate; `None` while it may send nothing.
@@ -52,7 +58,7 @@
             start_key,
             latest: Dated { rate: Some(rate), at },
             own: None,
-            used: None,
+            current_use: None,
             not_using: BTreeSet::new(),
             share: None,
             bucket: Bucket::empty(now),
@@ -70,7 +76,7 @@
     }
 
     /// Records what the server states in a response to this daemon.
-    pub(super) fn state(&mut self, rate: Option<Rate>, now: Moment) {
+    pub(super) fn record_statement(&mut self, rate: Option<Rate>, now: Moment) {
         let dated = Dated { rate, at: now };
         self.own = Some(dated);
         self.replace(dated);
@@ -109,14 +115,14 @@
 
     /// Records that this daemon has a request for the server; returns whether it had none for a
     /// while.
-    pub(super) fn want(&mut self, now: Moment) -> bool {
-        let since = self.used.filter(|(_, last)| now.since(*last) <= MAX_UNUSED_TIME);
-        self.used = Some((since.map_or(now, |(first, _)| first), now));
-        since.is_none()
+    pub(super) fn record_demand(&mut self, now: Moment) -> bool {
+        let earlier = self.current_use(now);
+        self.current_use = Some(Use { since: earlier.map_or(now, |e| e.since), last: now });
+        earlier.is_none()
     }
 
-    fn is_wanted(&self, now: Moment) -> bool {
-        self.used.is_some_and(|(_, last)| now.since(last) <= MAX_UNUSED_TIME)
+    fn current_use(&self, now: Moment) -> Option<Use> {
+        self.current_use.filter(|current| now.since(current.last) <= MAX_UNUSED_TIME)
     }
 
     /// Determines the share of this daemon again. `peers` are the daemons that may use the server.
@@ -130,9 +136,10 @@
         now: Moment,
     ) {
         self.bucket.fill(self.share, now);
-        let has_joined = self.used.is_some_and(|(first, _)| now.since(first) >= join_delay);
+        let current = self.current_use(now);
+        let has_joined = current.is_some_and(|current| now.since(current.since) >= join_delay);
         self.share = match self.latest.rate {
-            Some(rate) if has_joined && self.is_wanted(now) => self.share_of(rate, own, peers),
+            Some(rate) if has_joined => self.share_of(rate, own, peers),
             _ => None,
         };
         if self.share.is_none() {
@@ -190,13 +197,11 @@
         now.since(self.latest.at) > age
     }
 
-    /// Returns what the peers are told.
+    /// Returns what the peers are told. An own statement that is not the latest would bring back a
+    /// limit at peers that have forgotten its end.
     pub(super) fn report(&self, now: Moment) -> Report {
-        let statement = |own: Dated| Statement { rate: own.rate, age: now.since(own.at) };
-        Report {
-            server: self.start_key,
-            wanted: self.is_wanted(now),
-            statement: self.own.map(statement),
-        }
+        let latest_own = self.own.filter(|own| own.at >= self.latest.at);
+        let statement = latest_own.map(|own| Statement { rate: own.rate, age: now.since(own.at) });
+        Report { server: self.start_key, wanted: self.current_use(now).is_some(), statement }
     }
 }
--- a/crates/gateway/src/rate_limit/table.rs
+++ b/crates/gateway/src/rate_limit/table.rs
@@ -32,7 +32,7 @@
 impl Table {
     /// Records what a server states in a response to a request that was sent at `sent_at`.
     /// `start_key` identifies the incarnation of the server.
-    pub fn state(
+    pub fn record_statement(
         &mut self,
         server: &runner::Id,
         start_key: u64,
@@ -44,16 +44,16 @@
         match (entry, rate) {
             (Some(entry), Some(rate)) => {
                 let is_new = entry.rate() != Some(rate);
-                entry.state(Some(rate), now);
+                entry.record_statement(Some(rate), now);
                 is_new.then_some(Change::Stated(rate))
             }
             (Some(entry), None) if entry.is_lifted_by(sent_at) => {
-                entry.state(None, now);
+                entry.record_statement(None, now);
                 Some(Change::Lifted)
             }
             (None, Some(rate)) => {
                 let mut entry = Entry::new(start_key, rate, now, now);
-                entry.state(Some(rate), now);
+                entry.record_statement(Some(rate), now);
                 self.entries.insert(server.clone(), entry);
                 Some(Change::Stated(rate))
             }
@@ -127,8 +127,8 @@
 
     /// Records that this daemon has a request for a server; returns whether the peers should hear of
     /// it at once.
-    pub fn want(&mut self, server: &runner::Id, now: Moment) -> bool {
-        self.entries.get_mut(server).is_some_and(|entry| entry.want(now))
+    pub fn record_demand(&mut self, server: &runner::Id, now: Moment) -> bool {
+        self.entries.get_mut(server).is_some_and(|entry| entry.record_demand(now))
     }
 
     /// Returns the limit of a server, if it has one.
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -13,5 +13,6 @@
 mod peers;
 mod placement;
 mod rate_limit;
+mod rate_shares;
 mod support;
 mod suspects;
