gateway: absurd limits and pauses of no time

Found by reading the diff: a limit near the largest number overflowed the number of daemons that share it (a panic in debug builds, 3 daemons in release builds), and a Retry-After of 0 logged the end of a pause that had not begun.

--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -44,6 +44,9 @@
         self.reset(server, start_key);
         let pause = pause.min(MAX_PAUSE);
         let until = now + pause;
+        if until <= now {
+            return None;
+        }
         let new = Pause { start_key, until: now, calls: 0 };
         let current = self.pauses.entry(server.clone()).or_insert(new);
         if current.until <= now {
--- a/crates/gateway/src/rate_limit/entry.rs
+++ b/crates/gateway/src/rate_limit/entry.rs
@@ -18,7 +18,7 @@
 /// Returns how many daemons may share a rate: each may have saved one request, and together these
 /// should not be more than a few, or one second's worth of the rate.
 pub fn max_sharers(rate: Rate) -> usize {
-    MIN_SHARERS + rate.per_second() as usize
+    MIN_SHARERS.saturating_add(rate.per_second() as usize)
 }
 
 /// A limit, or its end, at the time of the response that states it.
--- a/crates/gateway/tests/testsuite/backoff.rs
+++ b/crates/gateway/tests/testsuite/backoff.rs
@@ -41,6 +41,13 @@
     assert_eq!(table.left(&server(), now), Duration::from_secs(2));
 }
 
+#[test]
+fn a_pause_of_no_time_neither_begins_nor_ends() {
+    let mut table = Table::default();
+    assert_eq!(table.ask(&server(), START_KEY, Duration::ZERO, Moment::ZERO), None);
+    assert!(table.expire(Moment::from_millis(1)).is_empty());
+}
+
 #[test]
 fn a_pause_lasts_five_minutes_at_most() {
     let mut table = Table::default();
--- a/crates/gateway/tests/testsuite/rate_limit.rs
+++ b/crates/gateway/tests/testsuite/rate_limit.rs
@@ -70,6 +70,18 @@
     assert_eq!(statements(&table), []);
 }
 
+#[test]
+fn an_absurdly_high_limit_is_shared_by_all() {
+    let mut table = Table::default();
+    let at = Moment::from_millis;
+    table.record_statement(&server(), START_KEY, Some(rate(1e300)), at(0), at(0));
+    table.record_demand(&server(), at(0));
+    let peer = "peer".parse().unwrap();
+    let own = "own".parse().unwrap();
+    table.update_shares(&own, std::iter::once(&peer), Duration::ZERO, at(10));
+    assert!(table.is_open(&server(), at(20)));
+}
+
 #[test]
 fn an_older_statement_changes_nothing() {
     let mut table = Table::default();
