gateway: a pause or limit stated before the registration of a restart is kept

Failing test a_pause_asked_for_before_the_registration_of_a_restart_is_not_forgotten (6 requests in a pause, 2 are allowed). Change: what was stated less than ten seconds before a restart becomes known is kept for the new incarnation, for pauses and for rate limits.

--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -10,6 +10,8 @@
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
 
+use crate::fleet::MAX_REGISTRATION_DELAY;
+
 /// Number of calls that a server may get in a pause, for requests that it already runs.
 const MAX_CALLS: u32 = 2;
 /// Longest pause that a server may ask for.
@@ -19,6 +21,7 @@
 struct Pause {
     /// Identifies the incarnation of the server.
     start_key: u64,
+    asked_at: Moment,
     until: Moment,
     /// Number of calls that it got meanwhile.
     calls: u32,
@@ -41,17 +44,18 @@
         pause: Duration,
         now: Moment,
     ) -> Option<Duration> {
-        self.reset(server, start_key);
+        self.restart(server, start_key, now);
         let pause = pause.min(MAX_PAUSE);
         let until = now + pause;
         if until <= now {
             return None;
         }
-        let new = Pause { start_key, until: now, calls: 0 };
+        let new = Pause { start_key, asked_at: now, until: now, calls: 0 };
         let current = self.pauses.entry(server.clone()).or_insert(new);
         if current.until <= now {
             current.calls = 0;
         }
+        current.asked_at = now;
         let is_longer = current.until < until;
         current.until = current.until.max(until);
         is_longer.then_some(pause)
@@ -72,10 +76,15 @@
         pause.calls <= MAX_CALLS
     }
 
-    /// Ends the pause of a server that has restarted.
-    pub fn reset(&mut self, server: &runner::Id, start_key: u64) {
-        if self.pauses.get(server).is_some_and(|pause| pause.start_key != start_key) {
-            self.pauses.remove(server);
+    /// Ends the pause of a server that has restarted, unless the pause was asked for so recently that
+    /// it may be one of the new incarnation.
+    pub fn restart(&mut self, server: &runner::Id, start_key: u64, now: Moment) {
+        let Some(pause) = self.pauses.get_mut(server).filter(|p| p.start_key != start_key) else {
+            return;
+        };
+        match now.since(pause.asked_at) <= MAX_REGISTRATION_DELAY {
+            true => pause.start_key = start_key,
+            false => _ = self.pauses.remove(server),
         }
     }
 
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub use server::Status;
 pub use table::Change;
 pub use table::LAPSE_GRACE;
+pub use table::MAX_REGISTRATION_DELAY;
 pub use table::MIN_OUTAGE;
 pub use table::RETURN_GRACE;
 pub use table::Table;
--- a/crates/gateway/src/fleet/table.rs
+++ b/crates/gateway/src/fleet/table.rs
@@ -22,6 +22,9 @@
 /// It is short because the server may in fact be draining.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(1_200);
 
+/// Longest time after which the registration of a restarted server is expected to arrive. Until
+/// then, what the server says may be taken for what its previous incarnation said.
+pub const MAX_REGISTRATION_DELAY: Duration = Duration::from_secs(10);
 /// Time for which an incarnation that has left is remembered: the store may be restored from a copy
 /// that still has its registration.
 const LEFT_RETENTION: Duration = Duration::from_secs(60);
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -91,8 +91,9 @@
             Change::Joined => {
                 self.health.borrow_mut().reset(id);
                 if let Some(server) = self.fleet.borrow().server(id) {
-                    self.backoffs.borrow_mut().reset(id, server.start_key());
-                    self.rate_limits.borrow_mut().reset(id, server.start_key());
+                    let (start_key, now) = (server.start_key(), self.now());
+                    self.backoffs.borrow_mut().restart(id, start_key, now);
+                    self.rate_limits.borrow_mut().restart(id, start_key, now);
                 }
                 self.pool.close_server(id);
             }
--- a/crates/gateway/src/rate_limit/table.rs
+++ b/crates/gateway/src/rate_limit/table.rs
@@ -5,6 +5,7 @@
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
 
+use crate::fleet::MAX_REGISTRATION_DELAY;
 use crate::rate_limit::Entry;
 use crate::rate_limit::Rate;
 use crate::rate_limit::Report;
@@ -164,10 +165,16 @@
         self.entries.values().map(move |entry| entry.report(now))
     }
 
-    /// Discards the limit of a server that has restarted.
-    pub fn reset(&mut self, server: &runner::Id, start_key: u64) {
-        if self.entries.get(server).is_some_and(|entry| entry.start_key != start_key) {
-            self.entries.remove(server);
+    /// Discards the limit of a server that has restarted, unless the limit was stated so recently
+    /// that it may be one of the new incarnation.
+    pub fn restart(&mut self, server: &runner::Id, start_key: u64, now: Moment) {
+        let entry = self.entries.get_mut(server).filter(|entry| entry.start_key != start_key);
+        let Some(entry) = entry else {
+            return;
+        };
+        match entry.is_older_than(MAX_REGISTRATION_DELAY, now) {
+            true => _ = self.entries.remove(server),
+            false => entry.start_key = start_key,
         }
     }
 
