--- a/crates/gateway/src/config/mod.rs
+++ b/crates/gateway/src/config/mod.rs
@@ -3,6 +3,7 @@
 //! An adapter parses the platform's configuration document into these types; [`Config`] then
 //! answers the look-ups for each request.
 
+mod cold_start;
 mod limits;
 mod route;
 mod service;
@@ -10,6 +11,7 @@
 
 pub use kumquattiller_inventory::Version;
 
+pub use cold_start::ColdStart;
 pub use limits::Limits;
 pub use route::Retry;
 pub use route::Route;
--- a/crates/gateway/src/config/route.rs
+++ b/crates/gateway/src/config/route.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use kumquattiller_base::place::Region;
 use kumquattiller_base::service;
 
 /// What may be sent to a second server when the first server may have run the request already.
@@ -50,6 +51,8 @@
     pub max_attempts: u32,
     /// Whether requests are accepted without an API key.
     pub public: bool,
+    /// Regions in which requests may run; any if empty.
+    pub regions: Vec<Region>,
 }
 
 impl Route {
--- a/crates/gateway/src/config/service.rs
+++ b/crates/gateway/src/config/service.rs
@@ -1,5 +1,6 @@
 use kumquattiller_base::service;
 
+use crate::config::ColdStart;
 use crate::engine::Profile;
 
 /// A service, which is provided by a group of backend servers.
@@ -9,4 +10,6 @@
     pub name: service::Name,
     /// Performance profile of its engines; `None` for a plain service.
     pub engine: Option<Profile>,
+    /// How its servers behave after their start; `None` if they take any rate at once.
+    pub cold_start: Option<ColdStart>,
 }
--- a/crates/gateway/src/config/table.rs
+++ b/crates/gateway/src/config/table.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 
 use kumquattiller_base::account;
+use kumquattiller_base::place::Region;
 use kumquattiller_base::service;
 
 use crate::config::Limits;
@@ -26,6 +27,8 @@
     pub id: account::Id,
     /// Priority, which overrides that of the route; 0 is the highest.
     pub priority: Option<u8>,
+    /// Regions in which the requests of the account may run; any if empty.
+    pub regions: Vec<Region>,
 }
 
 /// One version of the configuration, indexed for look-ups.
--- /dev/null
+++ b/crates/gateway/src/fleet/exclusion.rs
@@ -0,0 +1,7 @@
+/// Reason why nothing may be sent to a server at the moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Exclusion {
+    /// The server has asked for a pause.
+    Paused,
+}
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -5,9 +5,11 @@
 //! lapse although their servers are running; such servers are kept for a short grace period after
 //! the store is available again.
 
+mod exclusion;
 mod server;
 mod table;
 
+pub use exclusion::Exclusion;
 pub use server::Server;
 pub use server::Status;
 pub use table::Change;
--- a/crates/gateway/src/fleet/server.rs
+++ b/crates/gateway/src/fleet/server.rs
@@ -1,5 +1,7 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use kumquattiller_base::place::Zone;
 use kumquattiller_base::runner;
 use kumquattiller_base::service;
 use kumquattiller_base::time::Moment;
@@ -20,6 +22,10 @@
     pub draining: bool,
     /// Start time of this incarnation, in Unix milliseconds, if the registration states it.
     pub started_ms: Option<u64>,
+    /// Availability zone, if the registration states it.
+    pub zone: Option<Zone>,
+    /// How much longer the server is cold, as of the registration; zero if it is warm.
+    pub cold_left: Duration,
 }
 
 /// Availability of a server for new work.
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The state of a daemon and its decisions about requests.
 
+mod candidates;
 mod copies;
 mod rate_limits;
 mod requests;
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -16,7 +16,6 @@
 use crate::load::Demand;
 use crate::load::gap_group;
 use crate::load::report_interval;
-use crate::load::server_key;
 use crate::placement;
 use crate::placement::Candidate;
 use crate::placement::Declined;
@@ -149,26 +148,6 @@
         times.filter(|time| !time.is_zero()).min()
     }
 
-    /// Returns the servers that may get a request: none that has asked for a pause or has reached
-    /// its rate limit. Failing servers are included only if no other is left.
-    fn candidates(&self, request: &Request, tried: &[runner::Id], now: Moment) -> Vec<Candidate> {
-        let fleet = self.fleet.borrow();
-        let mut usable = fleet.usable(&request.service.name);
-        usable.retain(|s| !tried.contains(&s.id));
-        let health = self.health.borrow();
-        let backoffs = self.backoffs.borrow();
-        usable.retain(|s| backoffs.left(&s.id, now).is_zero());
-        self.retain_within_limits(&mut usable, is_reserving(request), now);
-        if usable.iter().any(|s| health.is_usable(&s.id, now)) {
-            usable.retain(|s| health.is_usable(&s.id, now));
-        }
-        let ledger = self.ledger.borrow();
-        let peer_loads = ledger.peer_loads(now);
-        let load = |s: &Server| ledger.total_load(&s.id, peer_loads.get(&server_key(&s.id)), now);
-        let describe = |s: &Server| Candidate::new(s.id.clone(), load(s), s.slots);
-        usable.into_iter().map(describe).collect()
-    }
-
     /// Returns the work that a placement adds to each of its servers.
     pub fn assignments(&self, request: &Request, placement: &Placement) -> Vec<Assignment> {
         let prompt = request.metadata.prompt.filter(|_| request.service.engine.is_some());
@@ -220,11 +199,3 @@
         Some(request.priority.saturating_mul(2).saturating_add(non_interactive).min(9))
     }
 }
-
-/// Returns whether a request reserves memory at its servers.
-fn is_reserving(request: &Request) -> bool {
-    match (&request.service.engine, &request.metadata.prompt) {
-        (Some(profile), Some(prompt)) => needs_joint(prompt, profile),
-        _ => false,
-    }
-}
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -165,8 +165,8 @@
             dispatch.record_error(Outcome::Unreachable, &error);
             AttemptResult::NotSent
         }
-        Exchange::Paused => {
-            dispatch.log_paused();
+        Exchange::Withheld(exclusion) => {
+            dispatch.log_withheld(exclusion);
             AttemptResult::NotSent
         }
         Exchange::ConnectionLost(error) => {
--- a/crates/gateway/src/http/send.rs
+++ b/crates/gateway/src/http/send.rs
@@ -12,6 +12,7 @@
 use crate::config::Retry;
 use crate::dialect;
 use crate::dialect::Helper;
+use crate::fleet::Exclusion;
 use crate::fleet::Server;
 use crate::http::Connection;
 use crate::http::Request;
@@ -42,16 +43,16 @@
     Received(Box<Received>),
     /// Nothing was sent.
     NotSent(io::Error),
-    /// Nothing was sent, since the server has asked for a pause after the request was placed.
-    Paused,
+    /// Nothing was sent, since the server was excluded after the request was placed.
+    Withheld(Exclusion),
     /// The connection was lost after part of the request was sent.
     ConnectionLost(hyper::Error),
 }
 
 /// Sends a request to a server and waits for the head of the response.
 ///
-/// A server that asks for a pause gets nothing, also if it did so after the request was placed or
-/// while the connection was opened.
+/// An excluded server gets nothing, also if it was excluded after the request was placed or while
+/// the connection was opened.
 ///
 /// If a pooled connection was closed before anything was sent, the request is sent on a new one.
 /// The wait has no timeout of its own. Dropping the returned future closes the connection.
@@ -62,8 +63,8 @@
     helpers: &[Helper],
     resume_after: Option<&[u8]>,
 ) -> Exchange {
-    if gateway.is_paused(&server.id) {
-        return Exchange::Paused;
+    if let Some(exclusion) = gateway.withheld(server) {
+        return Exchange::Withheld(exclusion);
     }
     let max_idle = match request.route.retry {
         Retry::Never => MAX_IDLE_WITHOUT_RETRY,
@@ -81,8 +82,8 @@
         Err(error) => return Exchange::NotSent(error),
     };
     gateway.metrics().connection_opened();
-    if gateway.is_paused(&server.id) {
-        return Exchange::Paused;
+    if let Some(exclusion) = gateway.withheld(server) {
+        return Exchange::Withheld(exclusion);
     }
     let outgoing = build_request(gateway, request, server, helpers, resume_after);
     let not_sent = || Exchange::NotSent(io::ErrorKind::NotConnected.into());
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -208,6 +208,12 @@
     /// Start time of the server process in Unix milliseconds, if stated.
     #[prost(uint64, optional, tag = "6")]
     pub started_ms: Option<u64>,
+    /// Its availability zone, if known.
+    #[prost(string, optional, tag = "7")]
+    pub zone: Option<String>,
+    /// How much longer it is cold, in milliseconds, as of its registration.
+    #[prost(uint32, tag = "8")]
+    pub cold_ms: u32,
 }
 
 /// Error for a message field that cannot be parsed.
@@ -305,6 +311,8 @@
             slots: server.slots,
             leaving: server.draining,
             started_ms: server.started_ms,
+            zone: server.zone.as_ref().map(ToString::to_string),
+            cold_ms: u32::try_from(server.cold_left.as_millis()).unwrap_or(u32::MAX),
         }
     }
 }
@@ -313,6 +321,7 @@
     type Error = Unreadable;
 
     fn try_from(server: &Server) -> Result<Self, Self::Error> {
+        let zone = server.zone.as_deref().map(str::parse).transpose();
         Ok(Self {
             id: server.id.parse().map_err(|e| Unreadable(format!("id: {e}")))?,
             service: server.service.parse().map_err(|e| Unreadable(format!("service: {e}")))?,
@@ -320,6 +329,8 @@
             slots: server.slots,
             draining: server.leaving,
             started_ms: server.started_ms,
+            zone: zone.map_err(|e| Unreadable(format!("zone: {e}")))?,
+            cold_left: Duration::from_millis(server.cold_ms.into()),
         })
     }
 }
--- a/crates/gateway/src/relay/dispatch.rs
+++ b/crates/gateway/src/relay/dispatch.rs
@@ -6,6 +6,7 @@
 
 use crate::Gateway;
 use crate::dialect::Helper;
+use crate::fleet::Exclusion;
 use crate::fleet::Server;
 use crate::freshness;
 use crate::health::Outcome;
@@ -124,11 +125,12 @@
         self.gateway.metrics().response_completed(self.request.route.streaming, time);
     }
 
-    /// Logs that nothing was sent, since the server has asked for a pause after the placement.
-    pub fn log_paused(&self) {
+    /// Logs that nothing was sent, since the server was excluded after the placement.
+    pub fn log_withheld(&self, reason: Exclusion) {
         info!(
-            target: "request", id = self.request.metadata.id, server:% = self.placement.server;
-            "not sent, the server has asked for a pause"
+            target: "request", id = self.request.metadata.id, server:% = self.placement.server,
+            reason:%;
+            "not sent, the server has been excluded"
         );
     }
 
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -295,7 +295,7 @@
                 Some(Exchange::NotSent(error)) => {
                     dispatch.record_error(Outcome::Unreachable, &error)
                 }
-                Some(Exchange::Paused) => dispatch.log_paused(),
+                Some(Exchange::Withheld(exclusion)) => dispatch.log_withheld(exclusion),
                 Some(Exchange::ConnectionLost(error)) => {
                     dispatch.record_error(Outcome::Broken, &error);
                     self.gateway.check_server_exit(&self.request, &server.id);
--- a/crates/gateway/src/reservation/reservations.rs
+++ b/crates/gateway/src/reservation/reservations.rs
@@ -55,10 +55,10 @@
         let ticket_id: u64 = rand::random();
         for (id, tokens) in parts {
             let server = gateway.fleet().borrow().server(&id).cloned()?;
-            if gateway.is_paused(&id) {
+            if let Some(reason) = gateway.withheld(&server) {
                 info!(
-                    target: "request", id = request, server:% = id;
-                    "memory is not reserved, the server has asked for a pause"
+                    target: "request", id = request, server:% = id, reason:%;
+                    "memory is not reserved, the server has been excluded"
                 );
                 return None;
             }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,9 +1,11 @@
 //! Settings of a gateway, which the adapter reads from the platform's settings file.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use kumquattiller_base::daemon;
+use kumquattiller_base::place::Region;
 use kumquattiller_base::place::Zone;
 
 use crate::budget;
@@ -33,6 +35,22 @@
     pub config_limit: Duration,
     /// Limits of the retry budget.
     pub budget: budget::Bounds,
+    /// Region of each availability zone.
+    pub regions: BTreeMap<Zone, Region>,
+    /// How far the rate of a cold server may be exceeded.
+    pub cold_bound: ColdBound,
+    /// Time after which nothing may reach the servers of an evacuated availability zone.
+    pub evacuation_limit: Duration,
+}
+
+/// How far the rate of a cold server may be exceeded: it gets at most its rate times `overshoot`,
+/// plus `slack`, requests in one second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdBound {
+    /// Multiple of the rate.
+    pub overshoot: f64,
+    /// Number of further requests.
+    pub slack: f64,
 }
 
 impl Settings {
--- a/crates/gateway/tests/testsuite/config.rs
+++ b/crates/gateway/tests/testsuite/config.rs
@@ -31,11 +31,12 @@
         targets: vec![target("one", 90), target("two", 10)],
         max_attempts: 1,
         public,
+        regions: Vec::new(),
     }
 }
 
 fn config() -> Config {
-    let account = Account { id: "family".parse().unwrap(), priority: Some(1) };
+    let account = Account { id: "family".parse().unwrap(), priority: Some(1), regions: Vec::new() };
     let routes = vec![route("short", "/a/", false), route("long", "/a/b/", true)];
     let keys = HashMap::from([("key".to_owned(), account)]);
     Config::new(Version::new(3), Limits::default(), routes, Vec::new(), Some(keys))
--- a/crates/gateway/tests/testsuite/fleet.rs
+++ b/crates/gateway/tests/testsuite/fleet.rs
@@ -32,6 +32,8 @@
         slots: 16,
         draining: false,
         started_ms: Some(1),
+        zone: None,
+        cold_left: Duration::ZERO,
     }
 }
 
