gateway: a stopping daemon answers each request before it exits

Cause: at the end of the grace period the process ended with requests still waiting for a server, whose connections were closed without an answer. In the last phase but one, a new connection was often closed before its request was read, since it counted as idle.

Change: 250 ms before the end of the grace period each request without a response is answered: 503 with Retry-After where it is proved that it did not run, else 504. A stream that has begun is broken. The process exits when the answers are written, 75 ms before the end at the latest. A connection is closed as idle only after its first request.

--- a/crates/gateway/src/gateway/shutdown.rs
+++ b/crates/gateway/src/gateway/shutdown.rs
@@ -5,7 +5,10 @@
 use log::info;
 
 use crate::Gateway;
+use crate::stop::LAST_POLL_INTERVAL;
+use crate::stop::POLL_INTERVAL;
 use crate::stop::Phase;
+use crate::stop::Stop;
 
 impl Gateway {
     /// Returns the phase of the stop.
@@ -29,7 +32,7 @@
     }
 
     /// Starts the graceful stop. Returns when all requests have ended and their responses have been
-    /// written, or when the grace period is over.
+    /// written, or shortly before the grace period ends.
     pub async fn shut_down(&self) {
         let mut stop = self.stop.get();
         stop.begin(self.now());
@@ -39,23 +42,49 @@
             let phase = self.phase();
             self.phase.send_if_modified(|old| std::mem::replace(old, phase) != phase);
             let idle = self.ledger.borrow().is_empty() && self.active_connections.get() == 0;
-            if phase == Phase::Over || (phase == Phase::Finishing && idle) {
+            let may_exit = idle && matches!(phase, Phase::Finishing | Phase::Over);
+            if may_exit || stop.must_exit(self.now()) {
                 break;
             }
-            tokio::time::sleep(crate::stop::POLL_INTERVAL).await;
+            let over = phase == Phase::Over;
+            tokio::time::sleep(if over { LAST_POLL_INTERVAL } else { POLL_INTERVAL }).await;
         }
         stop.close();
         self.stop.set(stop);
+        self.phase.send_replace(Phase::Over);
+        self.finish_last_answers(stop).await;
         let (unfinished, open) = (self.ledger.borrow().len(), self.active_connections.get());
         info!(target: "process", unfinished, open; "stopped");
-        tokio::time::sleep(crate::stop::POLL_INTERVAL).await;
+    }
+
+    /// Waits until the refusals of requests that arrived at the end of the stop are written.
+    async fn finish_last_answers(&self, stop: Stop) {
+        let quiet_at = self.now() + POLL_INTERVAL;
+        while !stop.must_exit(self.now())
+            && (self.now() < quiet_at || self.active_connections.get() > 0)
+        {
+            tokio::time::sleep(LAST_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns the output of `work`, or `None` if it is not complete when a stopping daemon gives its
+    /// last answers.
+    pub async fn before_exit<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            output = work => Some(output),
+            () = self.wait_for_phase(|phase| phase == Phase::Over) => None,
+        }
     }
 
     /// Waits for [`Phase::Finishing`] or [`Phase::Over`], in which idle connections are closed.
     pub async fn wait_until_finishing(&self) {
+        self.wait_for_phase(|phase| matches!(phase, Phase::Finishing | Phase::Over)).await;
+    }
+
+    async fn wait_for_phase(&self, is_awaited: impl Fn(Phase) -> bool) {
         let mut phase = self.phase.subscribe();
-        let is_finishing = |p: &Phase| matches!(p, Phase::Finishing | Phase::Over);
-        if phase.wait_for(is_finishing).await.is_err() {
+        if phase.wait_for(|phase| is_awaited(*phase)).await.is_err() {
             log::debug!(target: "process", "the phase channel is closed");
         }
     }
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -72,7 +72,7 @@
     };
     let time_limit = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
     if !gateway.accepts(expected_duration(metadata, &service, time_limit)) {
-        return Err(refuse(Kind::Stopping, gateway.stop_retry_delay()));
+        return Err(refuse_stopping(gateway));
     }
     let body = match read_body(body, &config, time_limit).await {
         Ok(body) => body,
@@ -113,6 +113,11 @@
     Duration::from_secs_f64((profile.prefill_ms(prompt.tokens) + decode_ms) / 1e3).min(time_limit)
 }
 
+/// Returns the refusal of a request that arrives too late at a stopping daemon.
+pub fn refuse_stopping(gateway: &Gateway) -> Refusal {
+    refuse(Kind::Stopping, gateway.stop_retry_delay())
+}
+
 /// Refuses a request for which nothing has been sent.
 fn refuse(kind: Kind, retry_after: Duration) -> Refusal {
     match new_attempt().not_started() {
--- a/crates/gateway/src/http/listener.rs
+++ b/crates/gateway/src/http/listener.rs
@@ -21,6 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use crate::Gateway;
 use crate::http::Body;
@@ -118,13 +119,17 @@
     }
 }
 
-/// Serves the requests of one connection.
+/// Serves the requests of one connection. A stopping daemon closes it when its last response is
+/// written, but not before its first request, which may be on its way.
 async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
     let limits = gateway.config().map(|c| *c.limits()).unwrap_or_default();
+    let first_request = Rc::new(Notify::new());
     let service = {
         let gateway = gateway.clone();
+        let first_request = first_request.clone();
         let guard = Cell::new(None);
         service_fn(move |request| {
+            first_request.notify_one();
             guard.set(Some(ConnectionGuard::start(&gateway)));
             handle_request(gateway.clone(), request)
         })
@@ -134,7 +139,12 @@
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size((limits.header.get() as usize).max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
+    let closable = async {
+        first_request.notified().await;
+        gateway.wait_until_finishing().await;
+    };
     let mut connection = std::pin::pin!(connection);
+    let mut closable = std::pin::pin!(closable);
     let mut closing = false;
     loop {
         tokio::select! {
@@ -144,7 +154,7 @@
                 }
                 return;
             }
-            () = gateway.wait_until_finishing(), if !closing => {
+            () = closable.as_mut(), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/crates/gateway/src/http/place.rs
+++ b/crates/gateway/src/http/place.rs
@@ -80,6 +80,15 @@
     refuse_with_delay(attempt, kind, NO_SERVER_RETRY_DELAY)
 }
 
+/// Returns the answer of a stopping daemon to a request without a response. A request that may have
+/// run is answered as one whose deadline has passed.
+pub fn refuse_stopping(gateway: &Gateway, attempt: Attempt<Unsent>) -> Refusal {
+    match attempt.not_started() {
+        Some(proof) => Refusal::not_run(proof, Kind::Stopping, gateway.stop_retry_delay()),
+        None => Refusal::may_have_run(Kind::DeadlineExceeded),
+    }
+}
+
 /// Returns a refusal. Only if it is proved that the request has not run does the refusal say so and
 /// carry a retry delay.
 fn refuse_with_delay(attempt: Attempt<Unsent>, kind: Kind, retry_after: Duration) -> Refusal {
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -26,13 +26,16 @@
 use crate::http::place::decline;
 use crate::http::place::place;
 use crate::http::place::refuse;
+use crate::http::place::refuse_stopping;
 use crate::http::reply;
 use crate::http::send;
 use crate::placement::Declined;
+use crate::placement::Placement;
 use crate::relay;
 use crate::relay::Dispatch;
 use crate::relay::History;
 use crate::reservation::Reservations;
+use crate::stop::Phase;
 
 /// Failed connection attempts after which a request is refused.
 const MAX_CONNECT_FAILURES: u32 = 4;
@@ -47,7 +50,7 @@
     NotSent,
     /// The request may have run; holds the response of the server to pass on, if there is one.
     Failed(Option<Response<Body>>),
-    /// The deadline of the request has passed.
+    /// The deadline of the request has passed, or a stopping daemon gives its last answers.
     DeadlineExceeded,
 }
 
@@ -56,7 +59,9 @@
     let arrived = gateway.now();
     let (head, body) = incoming.into_parts();
     let metadata = gateway.dialect().request_info(&head);
-    let request = match admission::admit(&gateway, &metadata, head, body, arrived).await {
+    let admitting = admission::admit(&gateway, &metadata, head, body, arrived);
+    let admitted = gateway.before_exit(admitting).await;
+    let request = match admitted.unwrap_or_else(|| Err(admission::refuse_stopping(&gateway))) {
         Ok(request) => Rc::new(request),
         Err(refusal) => {
             info!(
@@ -77,7 +82,7 @@
             info!(
                 target: "request", id = request.metadata.id, kind:% = refusal.kind,
                 status = refusal.status.as_u16(), route = request.route.name,
-                version:% = request.version,
+                version:% = request.version, phase:% = gateway.phase(),
                 ms = gateway.now().since(request.arrived).as_millis() as u64;
                 "refused"
             );
@@ -98,18 +103,17 @@
         if gateway.is_suspect(request) {
             return Err(Refusal::may_have_run(Kind::CrashesBackends));
         }
-        let placement = match place(gateway, request, &tried).await {
-            Ok(placement) => placement,
-            Err(declined) => return Err(decline(gateway, request, attempt, declined)),
-        };
-        let Ok(reservations) = Reservations::make(gateway, &request.metadata.id, &placement).await
-        else {
-            return Err(decline(gateway, request, attempt, Declined::NoMemory));
-        };
+        let (placement, reservations) =
+            match gateway.before_exit(reserve_place(gateway, request, &tried)).await {
+                Some(Ok(placed)) if gateway.phase() != Phase::Over => placed,
+                Some(Err(declined)) => return Err(decline(gateway, request, attempt, declined)),
+                Some(Ok(_)) | None => return Err(refuse_stopping(gateway, attempt)),
+            };
         tried.push(placement.server.clone());
         let dispatch = Dispatch::start(gateway, request, &placement, reservations);
         let sent = attempt.send();
-        match attempt_server(gateway, request, dispatch, &tried, attempts).await {
+        let attempting = attempt_server(gateway, request, dispatch, &tried, attempts);
+        match gateway.before_exit(attempting).await.unwrap_or(AttemptResult::DeadlineExceeded) {
             AttemptResult::Final(response) => return Ok(response),
             AttemptResult::DeadlineExceeded => {
                 return Err(Refusal::may_have_run(Kind::DeadlineExceeded));
@@ -141,6 +145,17 @@
     }
 }
 
+/// Places a request and reserves the memory that its placement needs.
+async fn reserve_place(
+    gateway: &Rc<Gateway>,
+    request: &Rc<Request>,
+    tried: &[runner::Id],
+) -> Result<(Placement, Option<Reservations>), Declined> {
+    let placement = place(gateway, request, tried).await?;
+    let made = Reservations::make(gateway, &request.metadata.id, &placement).await;
+    Ok((placement, made.map_err(|_| Declined::NoMemory)?))
+}
+
 /// Sends a request to the server of `dispatch`. `attempts` is the number of earlier attempts.
 async fn attempt_server(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -84,7 +84,9 @@
         ended: false,
     };
     let events = stream::unfold(relay, async |mut relay| {
-        let frame = relay.next().await?;
+        let gateway = relay.gateway.clone();
+        let next = gateway.before_exit(relay.next()).await;
+        let frame = next.unwrap_or_else(|| Some(relay.abort()))?;
         Some((frame.map(Frame::data), relay))
     });
     crate::http::response_from_parts(status, headers, Box::pin(StreamBody::new(events)))
--- a/crates/gateway/src/stop/mod.rs
+++ b/crates/gateway/src/stop/mod.rs
@@ -4,8 +4,9 @@
 //! keep their connections open. A stopping daemon therefore first continues to accept requests, and
 //! closes each connection after its response. It then refuses new requests except for those that
 //! will certainly end within the grace period: if all daemons are stopped shortly after one
-//! another, callers have no other daemon to go to. It exits when the last response has been written
-//! or the grace period is over.
+//! another, callers have no other daemon to go to. Shortly before the end of the grace period it
+//! answers the requests that still wait for a server. It exits when the last response has been
+//! written, or just before the grace period ends.
 
 use std::time::Duration;
 
@@ -14,11 +15,17 @@
 /// Duration of [`Phase::NotReady`]: two failed readiness checks a
 /// second apart, their delays, and a margin that leaves typical streams time to end.
 pub const NOTICE_PERIOD: Duration = Duration::from_millis(2_900);
-/// Part of the grace period reserved for the exit of the process.
+/// Part of the grace period reserved for the last answers and the exit of the process.
 pub const EXIT_RESERVE: Duration = Duration::from_millis(250);
 
+/// Part of [`EXIT_RESERVE`] in which nothing more is written, so that the process has exited before
+/// it is killed.
+const EXIT_MARGIN: Duration = Duration::from_millis(75);
+
 /// Interval at which a stopping daemon checks whether it may exit.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// The same in [`Phase::Over`].
+pub const LAST_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Typical time from the exit of a process until its successor is ready.
 const RESTART_TIME: Duration = Duration::from_millis(600);
@@ -38,7 +45,8 @@
     /// Closes idle connections, accepts only requests that will certainly end in time, and finishes
     /// those in progress.
     Finishing,
-    /// The grace period is over; no request is accepted.
+    /// The grace period is about to end; no request is accepted, and those that wait for a server
+    /// are answered.
     Over,
 }
 
@@ -77,6 +85,11 @@
         }
     }
 
+    /// Returns whether the process must exit, also if responses are not fully written.
+    pub fn must_exit(&self, now: Moment) -> bool {
+        self.requested_at.is_some_and(|at| now.since(at) + EXIT_MARGIN >= self.grace)
+    }
+
     /// Returns the maximum time until the daemon has stopped and restarted.
     pub fn restart_delay(&self, now: Moment) -> Duration {
         self.requested_at.map_or(Duration::ZERO, |at| (at + self.grace + RESTART_TIME).since(now))
