gateway, platform: evacuation of an availability zone

Cause: requests reached an evacuated zone, since nothing read evacuations. Change: evacuations are a kind of object that is followed like the others, dated by era and revision, passed on between peers as changes and in the document for a daemon without the store, and needed for readiness. A reservation in the zone is renewed once for all the time of its request. After a pause of the process, requests wait for a confirmation of the copy, for at most 1 s. A store that answers 404 or 400 for the kind counts as one without evacuations and is asked again by watchers after 1 s to 30 s.

--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -54,6 +54,8 @@
     Overloaded,
     /// No runner of the service is reachable.
     NoRunner,
+    /// All servers of the service are in availability zones that the operator has evacuated.
+    Evacuated,
     /// The runner accepts no new work because it is draining.
     Leaving,
     /// The engine's memory is too full for the request.
@@ -148,6 +150,7 @@
             Self::RateLimited => retryable(429, 1, "the client account is over its limit"),
             Self::Overloaded => retryable(503, 2, "no runner can finish the request in time"),
             Self::NoRunner => retryable(503, 2, "no runner of the service is reachable"),
+            Self::Evacuated => retryable(503, 2, "the zones of the service are evacuated"),
             Self::Leaving => retryable(503, 1, "the runner takes no new work"),
             Self::MemoryFull => retryable(503, 1, "the runner's memory has no room"),
             Self::Stopping => retryable(503, 1, "this entry daemon is stopping"),
@@ -189,6 +192,7 @@
             Self::DeadlineExpired
             | Self::Overloaded
             | Self::NoRunner
+            | Self::Evacuated
             | Self::Leaving
             | Self::MemoryFull
             | Self::InProgress => &[Ran::No, Ran::Unknown],
--- a/crates/gateway/src/changes/change.rs
+++ b/crates/gateway/src/changes/change.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
 use kumquattiller_base::daemon;
+use kumquattiller_base::place::Zone;
 use kumquattiller_base::runner;
 
 use crate::fleet::Server;
@@ -18,6 +19,10 @@
     Daemon(Member),
     /// The registration of a daemon was removed.
     DaemonRemoved(daemon::Id),
+    /// An availability zone is evacuated.
+    Evacuation(Zone),
+    /// The evacuation of an availability zone was taken back.
+    EvacuationRemoved(Zone),
 }
 
 impl Change {
@@ -36,4 +41,12 @@
             _ => None,
         }
     }
+
+    /// Returns the zone that is evacuated.
+    pub fn evacuation(&self) -> Option<Zone> {
+        match self {
+            Self::Evacuation(zone) => Some(zone.clone()),
+            _ => None,
+        }
+    }
 }
--- a/crates/gateway/src/fleet/exclusion.rs
+++ b/crates/gateway/src/fleet/exclusion.rs
@@ -4,4 +4,6 @@
 pub enum Exclusion {
     /// The server has asked for a pause.
     Paused,
+    /// The availability zone of the server is evacuated.
+    Evacuated,
 }
--- a/crates/gateway/src/freshness/kind.rs
+++ b/crates/gateway/src/freshness/kind.rs
@@ -10,4 +10,6 @@
     Servers,
     /// The registrations of the daemons.
     Daemons,
+    /// The evacuations of availability zones.
+    Evacuations,
 }
--- a/crates/gateway/src/freshness/table.rs
+++ b/crates/gateway/src/freshness/table.rs
@@ -24,6 +24,9 @@
     Store,
     /// A peer passed on what it holds.
     Peer,
+    /// Nobody: the store does not know the kind, so there are no objects of it. This is not told to
+    /// the peers, since it confirms none of their copies.
+    Assumed,
 }
 
 /// Effect of a peer's report on a copy.
--- a/crates/gateway/src/gateway/candidates.rs
+++ b/crates/gateway/src/gateway/candidates.rs
@@ -12,8 +12,8 @@
 use crate::placement::needs_joint;
 
 impl Gateway {
-    /// Returns the servers that may get a request: none that has asked for a pause or has reached
-    /// its rate limit. Failing servers are included only if no other is left.
+    /// Returns the servers that may get a request: none whose zone is evacuated, that
+    /// has asked for a pause or has reached its rate limit. Failing servers are included only if no other is left.
     pub(super) fn candidates(
         &self,
         request: &Request,
@@ -43,6 +43,9 @@
     }
 
     fn exclusion(&self, server: &Server, now: Moment) -> Option<Exclusion> {
+        if self.is_evacuated(server) {
+            return Some(Exclusion::Evacuated);
+        }
         if !self.backoffs.borrow().left(&server.id, now).is_zero() {
             return Some(Exclusion::Paused);
         }
--- a/crates/gateway/src/gateway/copies.rs
+++ b/crates/gateway/src/gateway/copies.rs
@@ -78,6 +78,9 @@
             update.shown_at,
             update.source,
         );
+        if kind == Kind::Evacuations {
+            self.note_evacuations_confirmed(before.is_none());
+        }
         let is_new = before.is_some() && last_change > before;
         let is_urgent = is_new || was_overdue || self.reports_are_rare();
         if update.source == Source::Store && is_urgent {
@@ -96,6 +99,7 @@
         match (kind, content) {
             (Kind::Servers, Content::Complete(objects)) => self.replace_servers(objects),
             (Kind::Daemons, Content::Complete(objects)) => self.replace_daemons(objects),
+            (Kind::Evacuations, Content::Complete(objects)) => self.replace_evacuations(objects),
             (_, Content::Complete(objects)) => {
                 objects.iter().for_each(|change| self.apply_change(change, source));
             }
@@ -119,6 +123,8 @@
             Change::Daemon(member) => self.peers.borrow_mut().put(member, &self.settings.name),
             Change::DaemonRemoved(id) if *id == self.settings.name => self.set_registered(false),
             Change::DaemonRemoved(id) => self.peers.borrow_mut().remove(id),
+            Change::Evacuation(zone) => self.put_evacuation(zone),
+            Change::EvacuationRemoved(zone) => self.remove_evacuation(zone),
         }
     }
 
@@ -165,6 +171,9 @@
                 let own = std::iter::once(self.settings.member());
                 own.chain(self.peers.borrow().members()).map(Change::Daemon).collect()
             }
+            Kind::Evacuations => {
+                self.evacuations.borrow().zones().cloned().map(Change::Evacuation).collect()
+            }
         };
         Content::Complete(objects)
     }
@@ -221,8 +230,10 @@
 
     /// Records that a peer has confirmed a copy that was not confirmed for `silence`.
     fn end_silence(&self, kind: Kind, silence: Duration, now: Moment) {
-        if kind == Kind::Servers {
-            self.fleet.borrow_mut().store_responded(silence, now);
+        match kind {
+            Kind::Servers => self.fleet.borrow_mut().store_responded(silence, now),
+            Kind::Evacuations => self.note_evacuations_confirmed(false),
+            Kind::Config | Kind::Daemons => {}
         }
     }
 }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod candidates;
 mod copies;
+mod evacuations;
 mod rate_limits;
 mod requests;
 mod role;
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -79,6 +79,9 @@
     pub fn place(&self, request: &Request, tried: &[runner::Id]) -> Result<Placement, Declined> {
         let now = self.now();
         let candidates = self.candidates(request, tried, now);
+        if candidates.is_empty() && self.is_all_evacuated(request) {
+            return Err(Declined::Evacuated);
+        }
         let placement = self.choose(request, &candidates, now)?;
         self.count_against_limits(&placement);
         Ok(placement)
@@ -115,7 +118,9 @@
 
     /// Returns whether a request that does not fit now may fit once other requests have ended.
     pub fn may_fit_later(&self, request: &Request) -> bool {
-        let servers = self.fleet.borrow().usable(&request.service.name).len();
+        let fleet = self.fleet.borrow();
+        let usable = fleet.usable(&request.service.name);
+        let servers = usable.into_iter().filter(|server| !self.is_evacuated(server)).count();
         match (&request.service.engine, &request.metadata.prompt) {
             (Some(profile), Some(prompt)) => fits_jointly(prompt, profile, servers),
             _ => false,
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use bytes::Bytes;
 use kumquattiller_base::runner;
@@ -24,6 +25,7 @@
 use crate::config::Config;
 use crate::config::Version;
 use crate::dialect::Dialect;
+use crate::evacuation;
 use crate::fleet;
 use crate::freshness;
 use crate::health::Health;
@@ -34,6 +36,7 @@
 use crate::load::server_key;
 use crate::observe::Metrics;
 use crate::observe::State;
+use crate::pause;
 use crate::peer;
 use crate::peer::Document;
 use crate::rate_limit;
@@ -64,7 +67,13 @@
     pub(super) histories: RefCell<BTreeMap<freshness::Kind, History>>,
     /// Wakes the watches when a peer has seen a change that a copy lacks.
     pub(super) change_missed: Notify,
-    /// Wakes waiting requests when the configuration or the servers have been loaded.
+    pub(super) evacuations: RefCell<evacuation::Table>,
+    pub(super) evacuation_hold: RefCell<evacuation::Hold>,
+    /// Wakes requests that are held back when the copy of the evacuations has been confirmed.
+    pub(super) evacuations_confirmed: Notify,
+    /// Pauses of the process as of the last request.
+    pub(super) send_pauses: RefCell<pause::Detector>,
+    /// Wakes waiting requests when the configuration, the servers or the evacuations have been loaded.
     pub(super) data_loaded: Notify,
     pub(super) ledger: RefCell<Ledger>,
     pub(super) health: RefCell<Health>,
@@ -111,6 +120,10 @@
             role: Cell::new(None),
             histories: RefCell::default(),
             change_missed: Notify::new(),
+            evacuations: RefCell::default(),
+            evacuation_hold: RefCell::default(),
+            evacuations_confirmed: Notify::new(),
+            send_pauses: RefCell::new(pause::Detector::new(Instant::now(), SystemTime::now())),
             data_loaded: Notify::new(),
             ledger: RefCell::default(),
             health: RefCell::default(),
@@ -201,12 +214,13 @@
         self.config.borrow().clone()
     }
 
-    /// Returns the configuration and servers for a peer that cannot reach the store.
+    /// Returns the configuration, servers and evacuations for a peer that cannot reach the store.
     pub fn document(&self) -> Document {
         Document {
             version: self.version().get(),
             body: self.document.borrow().clone(),
             servers: self.fleet.borrow().servers().map(|s| peer::Server::from(&s)).collect(),
+            evacuations: self.changes_since(freshness::Kind::Evacuations, None),
         }
     }
 
@@ -275,6 +289,7 @@
                     "timer delayed"
                 );
             }
+            self.detect_missed_evacuations();
             self.remove_expired();
         }
     }
@@ -306,6 +321,7 @@
             servers: self.fleet.borrow().len(),
             peers: self.peers_alive(),
             in_flight: self.ledger.borrow().len(),
+            evacuated_zones: self.evacuations.borrow().zones().len(),
             rate_limited: self.rate_limits.borrow().limited(),
             role: self.role.get(),
             ages: freshness::Kind::iter().filter_map(|kind| Some((kind, age(kind)?))).collect(),
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -47,7 +47,7 @@
         self.data_loaded.notify_waiters();
     }
 
-    /// Waits until the configuration and the servers are loaded, for at most `limit`.
+    /// Waits until the configuration, the servers and the evacuations are loaded, for at most `limit`.
     pub async fn wait_until_loaded(&self, limit: Duration) {
         let loaded = async {
             loop {
@@ -63,9 +63,9 @@
         }
     }
 
-    /// Returns whether the daemon has a configuration and the backend servers.
+    /// Returns whether the daemon has a configuration, the backend servers and the evacuations.
     pub fn is_loaded(&self) -> bool {
-        self.config.borrow().is_some() && self.fleet_loaded.get()
+        self.config.borrow().is_some() && self.fleet_loaded.get() && self.knows_evacuations()
     }
 
     /// Adds the backend servers that a peer knows, unless the servers have already been loaded.
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -53,7 +53,7 @@
 ) -> Result<Request, Refusal> {
     let caller_timeout = metadata.timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     gateway.wait_until_loaded(caller_timeout.mul_f64(STARTUP_WAIT_FRACTION)).await;
-    let Some(config) = gateway.config() else {
+    let Some(config) = gateway.config().filter(|_| gateway.knows_evacuations()) else {
         return Err(refuse(Kind::NoConfiguration, outage_retry_delay(rand::random())));
     };
     let host = head.uri.host().or_else(|| head.headers.get(header::HOST)?.to_str().ok());
--- a/crates/gateway/src/http/place.rs
+++ b/crates/gateway/src/http/place.rs
@@ -12,6 +12,7 @@
 use crate::Gateway;
 use crate::http::Refusal;
 use crate::http::Request;
+use crate::http::outage_retry_delay;
 use crate::placement::Declined;
 use crate::placement::Placement;
 
@@ -54,7 +55,7 @@
 ) -> Refusal {
     let (others, gain) = match declined {
         Declined::TooCostly { others, gain } => (others, gain),
-        Declined::NoServer | Declined::NoMemory => (0.0, 0.0),
+        Declined::NoServer | Declined::Evacuated | Declined::NoMemory => (0.0, 0.0),
     };
     info!(
         target: "request", id = request.metadata.id, reason:% = declined, others, gain,
@@ -68,6 +69,9 @@
             let delay = gateway.time_until_accepted(request).unwrap_or(NO_SERVER_RETRY_DELAY);
             refuse_with_delay(attempt, Kind::NoRunner, delay)
         }
+        Declined::Evacuated => {
+            refuse_with_delay(attempt, Kind::Evacuated, outage_retry_delay(rand::random()))
+        }
         Declined::NoMemory | Declined::TooCostly { .. } => {
             refuse_with_delay(attempt, Kind::MemoryFull, gateway.memory_retry_delay(request))
         }
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -102,8 +102,7 @@
             Ok(placement) => placement,
             Err(declined) => return Err(decline(gateway, request, attempt, declined)),
         };
-        let Ok(reservations) = Reservations::make(gateway, &request.metadata.id, &placement).await
-        else {
+        let Ok(reservations) = Reservations::make(gateway, request, &placement).await else {
             return Err(decline(gateway, request, attempt, Declined::NoMemory));
         };
         tried.push(placement.server.clone());
--- a/crates/gateway/src/http/send.rs
+++ b/crates/gateway/src/http/send.rs
@@ -52,7 +52,7 @@
 /// Sends a request to a server and waits for the head of the response.
 ///
 /// An excluded server gets nothing, also if it was excluded after the request was placed or while
-/// the connection was opened.
+/// the connection was opened, and no request goes out with a helper that has been evacuated since.
 ///
 /// If a pooled connection was closed before anything was sent, the request is sent on a new one.
 /// The wait has no timeout of its own. Dropping the returned future closes the connection.
@@ -63,7 +63,8 @@
     helpers: &[Helper],
     resume_after: Option<&[u8]>,
 ) -> Exchange {
-    if let Some(exclusion) = gateway.withheld(server) {
+    gateway.wait_until_evacuations_confirmed().await;
+    if let Some(exclusion) = gateway.withheld(server).or_else(|| gateway.withheld_helper(helpers)) {
         return Exchange::Withheld(exclusion);
     }
     let max_idle = match request.route.retry {
@@ -82,7 +83,8 @@
         Err(error) => return Exchange::NotSent(error),
     };
     gateway.metrics().connection_opened();
-    if let Some(exclusion) = gateway.withheld(server) {
+    gateway.wait_until_evacuations_confirmed().await;
+    if let Some(exclusion) = gateway.withheld(server).or_else(|| gateway.withheld_helper(helpers)) {
         return Exchange::Withheld(exclusion);
     }
     let outgoing = build_request(gateway, request, server, helpers, resume_after);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! servers. This package does the rest:
 //!
 //! - decisions without I/O: [`config`] (routes, client accounts, versions), [`fleet`] (which
-//!   servers may get work), [`freshness`] (how old the copies of the store are), [`changes`] (what
+//!   servers may get work), [`evacuation`] (zones that get nothing new), [`freshness`] (how old the copies of the store are), [`changes`] (what
 //!   the copies lack), [`engine`] (prefill times of prompts), [`load`] (requests in flight per
 //!   server), [`placement`] (choice of server and helpers, or a refusal), [`budget`] (retries),
 //!   [`health`] (failing servers), [`backoff`] (pauses that servers ask for), [`rate_limit`] (rates that they state), [`suspect`] (requests that crash servers), [`events`] (splitting
@@ -29,6 +29,7 @@
 pub mod config;
 pub mod dialect;
 pub mod engine;
+pub mod evacuation;
 pub mod events;
 pub mod fleet;
 pub mod freshness;
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -51,6 +51,7 @@
     servers: Gauge,
     peers: Gauge,
     in_flight: Gauge,
+    evacuated_zones: Gauge,
     store_calls: Family<CallLabels, Counter>,
     store_watcher: Gauge,
     ages: Family<Label, Gauge<f64, AtomicU64>>,
@@ -82,6 +83,7 @@
             servers: Gauge::default(),
             peers: Gauge::default(),
             in_flight: Gauge::default(),
+            evacuated_zones: Gauge::default(),
             store_calls: Family::default(),
             store_watcher: Gauge::default(),
             ages: Family::default(),
@@ -147,6 +149,11 @@
         registry.register("servers", "Backend servers known", self.servers.clone());
         registry.register("peers", "Other daemons alive", self.peers.clone());
         registry.register("in_flight", "Requests at servers", self.in_flight.clone());
+        registry.register(
+            "evacuated_zones",
+            "Availability zones that are evacuated",
+            self.evacuated_zones.clone(),
+        );
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         registry.register(
             "store_watcher",
@@ -243,6 +250,7 @@
         self.servers.set(state.servers as i64);
         self.peers.set(state.peers as i64);
         self.in_flight.set(state.in_flight as i64);
+        self.evacuated_zones.set(state.evacuated_zones as i64);
         self.rate_limited.set(state.rate_limited as i64);
         self.store_watcher.set(i64::from(state.role == Some(Role::Watcher)));
         for (kind, age) in state.ages {
@@ -268,6 +276,8 @@
     pub peers: usize,
     /// Requests at servers.
     pub in_flight: usize,
+    /// Availability zones that are evacuated.
+    pub evacuated_zones: usize,
     /// Servers that state a rate limit.
     pub rate_limited: usize,
     /// How the daemon learns of changes in the store, if that is known yet.
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -215,7 +215,8 @@
             Err(reason) => log::debug!(target: "peer", reason:%, from:%; "skipped a confirmation"),
         }
     }
-    if report.version > gateway.version().get() {
+    let needs_evacuations = report.version > 0 && gateway.needs_evacuations_from_document();
+    if report.version > gateway.version().get() || needs_evacuations {
         fetch::start(gateway, from);
     }
 }
--- a/crates/gateway/src/peer/fetch.rs
+++ b/crates/gateway/src/peer/fetch.rs
@@ -26,8 +26,9 @@
 /// Time limit for transferring a document between peers.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Starts to fetch the configuration and the servers from a peer, unless a fetch is running.
-/// Fetches nothing if another version arrives within [`STORE_HEAD_START`].
+/// Starts to fetch the configuration, the servers and the evacuations from a peer, unless a fetch is
+/// running. Fetches nothing if another version arrives within [`STORE_HEAD_START`] and the
+/// evacuations are complete by then.
 pub(super) fn start(gateway: &Rc<Gateway>, peer: SocketAddr) {
     if !gateway.begin_fetch() {
         return;
@@ -36,7 +37,7 @@
     tokio::task::spawn_local(async move {
         let version_before = gateway.version();
         tokio::time::sleep(STORE_HEAD_START).await;
-        if gateway.version() == version_before {
+        if gateway.version() == version_before || gateway.needs_evacuations_from_document() {
             fetch(&gateway, peer).await;
         }
         gateway.end_fetch();
@@ -44,12 +45,16 @@
 }
 
 async fn fetch(gateway: &Gateway, peer: SocketAddr) {
+    let asked_at = gateway.now();
     match timeout(FETCH_TIMEOUT, receive(peer)).await {
         Ok(Ok(document)) => {
             info!(
                 target: "config", peer:%, version = document.version;
                 "fetched the configuration from a peer"
             );
+            if let Some(evacuations) = document.evacuations {
+                gateway.load_evacuations_from_peer(evacuations, asked_at);
+            }
             gateway.update_config(document.body, Source::Peer);
             gateway.load_fleet_from_peer(&document.servers);
         }
@@ -65,7 +70,7 @@
     Ok(Document::decode(frame)?)
 }
 
-/// Sends the configuration and the backend servers to each peer that connects, until the process
+/// Sends the configuration, the backend servers and the evacuations to each peer that connects, until the process
 /// exits.
 ///
 /// # Errors
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -6,6 +6,7 @@
 use crate::freshness;
 use crate::load;
 use crate::peer::RateLimit;
+use crate::peer::transfer;
 use crate::suspect;
 use crate::suspect::Crash;
 use crate::suspect::Feature;
@@ -120,6 +121,8 @@
     Servers = 2,
     /// The registrations of the daemons.
     Daemons = 3,
+    /// The evacuations of availability zones.
+    Evacuations = 4,
 }
 
 /// A report that a daemon sends to its peers.
@@ -185,6 +188,10 @@
     /// The backend servers that it knows.
     #[prost(message, repeated, tag = "3")]
     pub servers: Vec<Server>,
+    /// The evacuations that it knows, all of them with their revision; none if it knows none yet or
+    /// is of a version that does not follow them.
+    #[prost(message, optional, tag = "4")]
+    pub evacuations: Option<transfer::Response>,
 }
 
 /// A backend server.
@@ -261,6 +268,7 @@
             freshness::Kind::Config => Self::Config,
             freshness::Kind::Servers => Self::Servers,
             freshness::Kind::Daemons => Self::Daemons,
+            freshness::Kind::Evacuations => Self::Evacuations,
         }
     }
 }
@@ -274,6 +282,7 @@
             Kind::Config => Ok(Self::Config),
             Kind::Servers => Ok(Self::Servers),
             Kind::Daemons => Ok(Self::Daemons),
+            Kind::Evacuations => Ok(Self::Evacuations),
         }
     }
 }
--- a/crates/gateway/src/peer/transfer.rs
+++ b/crates/gateway/src/peer/transfer.rs
@@ -60,7 +60,7 @@
     #[prost(uint64, tag = "1")]
     pub revision: u64,
     /// What has changed.
-    #[prost(oneof = "Object", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "Object", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub object: Option<Object>,
 }
 
@@ -82,6 +82,12 @@
     /// Name of a daemon whose registration was removed.
     #[prost(string, tag = "6")]
     DaemonRemoved(String),
+    /// Name of an availability zone that is evacuated.
+    #[prost(string, tag = "7")]
+    Evacuation(String),
+    /// Name of an availability zone whose evacuation was taken back.
+    #[prost(string, tag = "8")]
+    EvacuationRemoved(String),
 }
 
 /// A daemon.
@@ -203,6 +209,13 @@
         Some(Object::DaemonRemoved(id)) => {
             (changes::Change::DaemonRemoved(parse(&id, "id")?), freshness::Kind::Daemons)
         }
+        Some(Object::Evacuation(zone)) => {
+            (changes::Change::Evacuation(parse(&zone, "zone")?), freshness::Kind::Evacuations)
+        }
+        Some(Object::EvacuationRemoved(zone)) => (
+            changes::Change::EvacuationRemoved(parse(&zone, "zone")?),
+            freshness::Kind::Evacuations,
+        ),
     };
     match found == kind {
         true => Ok(change),
@@ -218,6 +231,8 @@
             changes::Change::ServerRemoved(id) => Self::ServerRemoved(id.to_string()),
             changes::Change::Daemon(member) => Self::Daemon(member.into()),
             changes::Change::DaemonRemoved(id) => Self::DaemonRemoved(id.to_string()),
+            changes::Change::Evacuation(zone) => Self::Evacuation(zone.to_string()),
+            changes::Change::EvacuationRemoved(zone) => Self::EvacuationRemoved(zone.to_string()),
         }
     }
 }
--- a/crates/gateway/src/placement/plan.rs
+++ b/crates/gateway/src/placement/plan.rs
@@ -24,6 +24,8 @@
 pub enum Declined {
     /// The service has no eligible server.
     NoServer,
+    /// All servers of the service are in evacuated availability zones.
+    Evacuated,
     /// The servers do not have enough free memory for the prompt.
     #[strum(serialize = "no_room")]
     NoMemory,
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -255,7 +255,7 @@
             };
             self.tried.push(placement.server.clone());
             let Ok(reservations) =
-                Reservations::make(&self.gateway, &self.request.metadata.id, &placement).await
+                Reservations::make(&self.gateway, &self.request, &placement).await
             else {
                 return false;
             };
--- a/crates/gateway/src/reservation/held.rs
+++ b/crates/gateway/src/reservation/held.rs
@@ -23,13 +23,22 @@
     pub(super) server: Server,
     pub(super) reservation: Reservation,
     expires_at: Rc<Cell<Moment>>,
+    /// Deadline of the request.
+    deadline: Moment,
+    /// Whether it has been renewed for the last time, since its server was evacuated.
+    is_final: Rc<Cell<bool>>,
 }
 
 impl Held {
     /// Creates a reservation that is being made now.
-    pub(super) fn new(server: Server, reservation: Reservation, now: Moment) -> Self {
+    pub(super) fn new(
+        server: Server,
+        reservation: Reservation,
+        deadline: Moment,
+        now: Moment,
+    ) -> Self {
         let expires_at = Rc::new(Cell::new(now + reservation.hold));
-        Self { server, reservation, expires_at }
+        Self { server, reservation, expires_at, deadline, is_final: Rc::default() }
     }
 
     /// Makes the reservation; returns the status, or `None` if there is no response.
@@ -43,12 +52,11 @@
     }
 
     /// Renews the reservation if that is due. In a pause of the server the renewal has to last until
-    /// the pause is over.
+    /// the pause is over, and at an evacuated server for as long as the request may run.
     pub(super) async fn renew_if_due(&self, gateway: &Gateway) {
         let now = gateway.now();
-        let pause = gateway.pause_left(&self.server.id);
-        let is_limited = gateway.is_rate_limited(&self.server.id);
-        let Some(hold) = renewal::due(self.expires_at.get().since(now), pause, is_limited) else {
+        let is_evacuated = gateway.is_evacuated(&self.server);
+        let Some(hold) = self.renewal_due(gateway, is_evacuated, now) else {
             return;
         };
         if !gateway.allow_call(&self.server.id) {
@@ -56,11 +64,25 @@
         }
         let renewed = Reservation { hold, ..self.reservation.clone() };
         match self.reserve(gateway, &renewed).await {
-            Some(StatusCode::OK) => self.expires_at.set(now + hold),
+            Some(StatusCode::OK) => {
+                self.expires_at.set(now + hold);
+                self.is_final.set(is_evacuated);
+            }
             _ => warn!(target: "fleet", server:% = self.server.id; "reservation was not renewed"),
         }
     }
 
+    /// Returns the lifetime for which the reservation is renewed now, if that is due.
+    fn renewal_due(&self, gateway: &Gateway, is_evacuated: bool, now: Moment) -> Option<Duration> {
+        let left = self.expires_at.get().since(now);
+        if is_evacuated {
+            let request_left = self.deadline.since(now);
+            return renewal::last(left, request_left).filter(|_| !self.is_final.get());
+        }
+        let pause = gateway.pause_left(&self.server.id);
+        renewal::due(left, pause, gateway.is_rate_limited(&self.server.id))
+    }
+
     /// Releases the reservation, unless it expires before the server may be called.
     pub(super) async fn release(self, gateway: &Gateway) {
         for _ in 0..MAX_RELEASE_ATTEMPTS {
--- a/crates/gateway/src/reservation/mod.rs
+++ b/crates/gateway/src/reservation/mod.rs
@@ -10,6 +10,9 @@
 //!
 //! A server that has asked for a pause gets no new reservation. One that it already holds is renewed
 //! once, until after the pause, and released when the server may be called.
+//!
+//! A server in an evacuated zone gets no new reservation either. One that it already holds is renewed
+//! once for all the time that its request has left, and released at the end of the request.
 
 mod call;
 mod held;
--- a/crates/gateway/src/reservation/reservations.rs
+++ b/crates/gateway/src/reservation/reservations.rs
@@ -8,6 +8,7 @@
 
 use crate::Gateway;
 use crate::dialect::Reservation;
+use crate::http::Request;
 use crate::placement::Placement;
 use crate::reservation::Held;
 use crate::reservation::renewal;
@@ -34,7 +35,7 @@
     /// Returns an error if a reservation fails. Reservations made before it are released.
     pub async fn make(
         gateway: &Rc<Gateway>,
-        request: &str,
+        request: &Request,
         placement: &Placement,
     ) -> Result<Option<Self>, NoMemory> {
         if placement.holders.is_empty() {
@@ -46,7 +47,7 @@
     /// Reserves memory at each server; returns `None` and releases everything if one of them fails.
     async fn reserve(
         gateway: &Rc<Gateway>,
-        request: &str,
+        request: &Request,
         parts: &[(runner::Id, Tokens)],
     ) -> Option<Self> {
         let mut reservations = Self { gateway: gateway.clone(), held: Vec::new(), renewal: None };
@@ -54,30 +55,31 @@
         parts.sort();
         let ticket_id: u64 = rand::random();
         for (id, tokens) in parts {
+            gateway.wait_until_evacuations_confirmed().await;
             let server = gateway.fleet().borrow().server(&id).cloned()?;
             if let Some(reason) = gateway.withheld(&server) {
                 info!(
-                    target: "request", id = request, server:% = id, reason:%;
+                    target: "request", id = request.metadata.id, server:% = id, reason:%;
                     "memory is not reserved, the server has been excluded"
                 );
                 return None;
             }
             let ticket = format!("{ticket_id:016x}");
             let reservation = Reservation { ticket, tokens, hold: LIFETIME };
-            let held = Held::new(server, reservation, gateway.now());
+            let held = Held::new(server, reservation, request.deadline, gateway.now());
             reservations.held.push(held.clone());
             let status = held.make(gateway).await;
             if status != Some(StatusCode::OK) {
                 let status = status.map_or(0, |s| s.as_u16());
                 info!(
-                    target: "request", id = request, server:% = id, tokens:%, status;
+                    target: "request", id = request.metadata.id, server:% = id, tokens:%, status;
                     "memory could not be reserved"
                 );
                 return None;
             }
         }
         info!(
-            target: "request", id = request, servers = reservations.held.len();
+            target: "request", id = request.metadata.id, servers = reservations.held.len();
             "memory reserved"
         );
         reservations.renewal =
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod config;
 mod decisions;
+mod evacuation;
 mod events;
 mod fleet;
 mod freshness;
