--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -152,7 +152,7 @@
     tried: &[runner::Id],
 ) -> Result<(Placement, Option<Reservations>), Declined> {
     let placement = place(gateway, request, tried).await?;
-    let made = Reservations::make(gateway, &request.metadata.id, &placement).await;
+    let made = Reservations::make(gateway, request, &placement).await;
     Ok((placement, made.map_err(|_| Declined::NoMemory)?))
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -39,8 +39,9 @@
     pub regions: BTreeMap<Zone, Region>,
     /// How far the rate of a cold server may be exceeded.
     pub cold_bound: ColdBound,
-    /// Time after which nothing may reach the servers of an evacuated availability zone.
-    pub evacuation_limit: Duration,
+    /// Time after which nothing may reach the servers of an evacuated availability zone; `None` if
+    /// the platform evacuates none, so that evacuations are not followed.
+    pub evacuation_limit: Option<Duration>,
 }
 
 /// How far the rate of a cold server may be exceeded: it gets at most its rate times `overshoot`,
