gateway: short prompts are placed by the engine's passes

Cause: the first event of a short prompt was expected after the backlog, which was estimated as if prefill were done continuously. An engine works in passes: the prompt waits for the rest of the running pass and shares the next one with all that arrived in the meantime. Besides, daemons that saw the same loads sent about a third of their short prompts to the same server between two reports.

Change: utility::first_event_ms counts the rest of the running pass, the decode steps and unanswered prefill of the next, and the prompt. Unreported prompts of other daemons are assumed to fill up the cheapest servers to the same cost, and a server is drawn in proportion to what it is filled up by. Servers of the long division are lent at a price that follows the long demand, at most the price so far. New tests replay a load against the decisions and a model of the passes.

Gaps caused by long prompts are not improved by this commit.

--- a/crates/gateway/src/load/ledger.rs
+++ b/crates/gateway/src/load/ledger.rs
@@ -240,7 +240,8 @@
         let until = self.backlog_until.get(&server_key(server)).copied().unwrap_or_default();
         let remaining_ms = until.since(now).as_secs_f64() * 1e3;
         let min_ms = in_flight.backlog_ms * MIN_BACKLOG_FRACTION;
-        Load { backlog_ms: remaining_ms.max(min_ms).min(in_flight.backlog_ms), ..in_flight }
+        let backlog_ms = remaining_ms.max(min_ms).min(in_flight.backlog_ms);
+        Load { backlog_ms, unanswered_ms: in_flight.backlog_ms, ..in_flight }
     }
 
     /// Returns the work that all daemons have in flight at one server.
@@ -293,6 +294,7 @@
     fn load(&self) -> Load {
         Load {
             backlog_ms: self.backlog_ms,
+            unanswered_ms: self.backlog_ms,
             requests: self.requests,
             interactive: self.interactive,
             decoding: self.decoding,
--- a/crates/gateway/src/load/view.rs
+++ b/crates/gateway/src/load/view.rs
@@ -9,6 +9,9 @@
 pub struct Load {
     /// Prefill work that is not done yet, in milliseconds.
     pub backlog_ms: f64,
+    /// Prefill work of the requests whose first event has not come, in milliseconds. Part of it may
+    /// be done, but its events come only at the end of a pass.
+    pub unanswered_ms: f64,
     /// Number of requests that have been sent and have not ended.
     pub requests: u32,
     /// Number of interactive streams among them that have begun.
@@ -30,6 +33,7 @@
     fn add(self, other: Self) -> Self {
         Self {
             backlog_ms: self.backlog_ms + other.backlog_ms,
+            unanswered_ms: self.unanswered_ms + other.unanswered_ms,
             requests: self.requests + other.requests,
             interactive: self.interactive + other.interactive,
             decoding: self.decoding + other.decoding,
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -359,6 +359,7 @@
             std::array::from_fn(|n| load.streams.get(n).map(Into::into).unwrap_or_default());
         let sent_ms = load.sent_ms;
         let load = load::Load {
+            unanswered_ms: f64::from(load.backlog_ms),
             backlog_ms: f64::from(load.backlog_ms),
             requests: load.requests,
             interactive: load.interactive,
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -28,13 +28,17 @@
 const NO_MEMORY_COST: f64 = 8.0;
 /// Cost of a server without a free slot, in units of request value.
 const NO_SLOT_COST: f64 = 3.0;
-/// Cost of placing a short prompt on a server for long prompts, in units of request value.
+/// Largest cost of placing a short prompt on a server for long prompts, in units of request value.
 const WRONG_DIVISION_COST: f64 = 0.3;
 /// Expected loss per short prompt that arrives during a long prefill: the fraction of such prompts
 /// that become late.
 const DISPLACED_LOSS: f64 = 0.3;
-/// Number of servers sampled for a short prompt, of which the cheapest is chosen.
-const SAMPLE_SIZE: usize = 4;
+/// Free servers of the long division for each one that the average demand occupies, from which they
+/// are not lent for less than [`WRONG_DIVISION_COST`]: long prompts arrive in bursts, and each takes
+/// several servers.
+const LONG_HEADROOM: f64 = 3.0;
+/// Factor for the delay that two short prompts at one server cause: each delays the other.
+const MUTUAL_DELAY: f64 = 2.0;
 /// Number of servers of a division that are considered for a long prompt: several times the most
 /// that take part, so that daemons that see the same loads can choose differently.
 const MAX_CONSIDERED: usize = 4 * (MAX_HELPERS + 1);
@@ -95,7 +99,7 @@
     let placement = if is_long(request.prompt, request.profile) {
         place_long(request, &division, demand)
     } else {
-        place_short(request, &division, unreported)
+        place_short(request, &division, demand, unreported)
     };
     placement.ok_or(Declined::NoServer)
 }
@@ -142,39 +146,72 @@
 fn place_short(
     request: &Request<'_>,
     division: &Division<'_>,
+    demand: &Demand,
     unreported: f64,
 ) -> Option<Placement> {
     let prefill_ms = request.prefill_ms();
     let cost = |c: &Candidate| {
-        let first_ms = c.load.backlog_ms + prefill_ms;
+        let first_ms = utility::first_event_ms(request.profile, c, prefill_ms);
         request.cost(c, prefill_ms)
             + request.wait_cost(first_ms)
             + utility::stream_loss(request.profile, c, prefill_ms)
             + utility::waiting_loss(c, prefill_ms)
     };
+    let price = lending_price(division, demand);
     let short = division.short.iter().map(|c| (*c, cost(c)));
-    let long = division.long.iter().map(|c| (*c, cost(c) + WRONG_DIVISION_COST));
+    let long = division.long.iter().map(|c| (*c, cost(c) + price));
     let mut costs: Vec<(&Candidate, f64)> = short.chain(long).collect();
     costs.sort_by(|a, b| a.1.total_cmp(&b.1));
-    let chosen = sample_cheapest(&costs, unreported)?;
+    let urgency = utility::first_urgency(request.prompt.tokens, request.target_latency);
+    let prompt_cost = urgency * prefill_ms * MUTUAL_DELAY;
+    let chosen = draw_cheapest(&costs, unreported, prompt_cost)?;
     Some(Placement {
         server: chosen.id.clone(),
         helpers: Vec::new(),
         holders: Vec::new(),
         part_ms: prefill_ms,
-        first_ms: chosen.load.backlog_ms + prefill_ms,
+        first_ms: utility::first_event_ms(request.profile, chosen, prefill_ms),
         reason: Reason::ShortDivision,
     })
 }
 
-/// Draws a few servers at random from the cheapest ones and returns the cheapest drawn. The pool
-/// grows with the number of unreported requests, so that daemons that see the same loads do not all
-/// choose the same server.
-fn sample_cheapest<'a>(costs: &[(&'a Candidate, f64)], unreported: f64) -> Option<&'a Candidate> {
-    let pool_size = costs.len().min(1 + unreported.ceil() as usize);
-    let draws = (0..SAMPLE_SIZE).map(|_| rand::random_range(0..pool_size.max(1)));
-    let first = if pool_size <= SAMPLE_SIZE { 0 } else { draws.min().unwrap_or(0) };
-    costs.get(first).map(|(c, _)| *c)
+/// Returns the cost of placing a short prompt on a server for long prompts, in units of request
+/// value. It follows the demand for long prompts: a server that they hardly need is lent for little.
+fn lending_price(division: &Division<'_>, demand: &Demand) -> f64 {
+    let idle = |c: &&&Candidate| c.load.interactive == 0 && c.load.unanswered_ms <= 0.0;
+    let free = division.long.iter().filter(idle).count().max(1) as f64;
+    let needed = demand.long_ms_per_s / 1e3 * LONG_HEADROOM;
+    WRONG_DIVISION_COST * (needed / free).powi(2).min(1.0)
+}
+
+/// Chooses among servers in ascending order of cost. It is assumed that the unreported prompts fill
+/// up the cheapest servers to the same cost, each adding `prompt_cost` to its server; a server is
+/// drawn with a probability proportional to its part of them. So daemons that see the same loads
+/// choose as one daemon would that knew them all.
+fn draw_cheapest<'a>(
+    costs: &[(&'a Candidate, f64)],
+    unreported: f64,
+    prompt_cost: f64,
+) -> Option<&'a Candidate> {
+    let mut sum = unreported * prompt_cost;
+    let mut level = f64::INFINITY;
+    let filled = costs.iter().enumerate().take_while(|(n, (_, cost))| {
+        let below = *cost < level;
+        if below {
+            sum += cost;
+            level = sum / (n + 1) as f64;
+        }
+        below
+    });
+    let filled = filled.count();
+    let mut draw = rand::random::<f64>() * unreported * prompt_cost;
+    for (candidate, cost) in costs.iter().take(filled) {
+        draw -= level - cost;
+        if draw <= 0.0 {
+            return Some(candidate);
+        }
+    }
+    costs.first().map(|(c, _)| *c)
 }
 
 /// Chooses how many servers prefill a long prompt, and which.
--- a/crates/gateway/src/placement/utility.rs
+++ b/crates/gateway/src/placement/utility.rs
@@ -63,6 +63,18 @@
     profile.decode_pass_ms(sequences, context) + load.backlog_ms + part_ms
 }
 
+/// Returns the expected time to the first event of a prompt that a server prefills in `part_ms`: the
+/// rest of the running pass, in which it arrives, and the whole next pass, which prefills it
+/// together with what else has arrived. The backlog is estimated as if it were done continuously; up to
+/// one pass more of the unanswered work may still be waiting.
+pub fn first_event_ms(profile: &Profile, candidate: &Candidate, part_ms: f64) -> f64 {
+    let load = &candidate.load;
+    let decode_ms = pass_ms(profile, candidate, 0.0) - load.backlog_ms;
+    let waiting_ms = load.unanswered_ms.min(load.backlog_ms + decode_ms).max(load.backlog_ms);
+    let rest_ms = if load.decoding > 0 || load.unanswered_ms > 0.0 { decode_ms / 2.0 } else { 0.0 };
+    rest_ms + decode_ms + waiting_ms + part_ms
+}
+
 /// Returns the expected loss of a server's streams if it gets `part_ms` more prefill.
 pub fn stream_loss(profile: &Profile, candidate: &Candidate, part_ms: f64) -> f64 {
     let before = pass_ms(profile, candidate, 0.0);
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -14,5 +14,7 @@
 mod placement;
 mod rate_limit;
 mod rate_shares;
+mod replay;
 mod support;
 mod suspects;
+mod uneven;
