gateway: allowed regions of routes and client accounts

Cause: the regions that a route and a client account allow were read and bound nothing. Change: a request gets the regions that both allow on admission. No common region is refused at once with region_not_allowed. A region in which there is no zone is logged.

--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -34,6 +34,8 @@
     UnknownService,
     /// The credential is missing or belongs to no client account.
     UnknownAccount,
+    /// The route and the client account allow no common region.
+    RegionNotAllowed,
     /// The body is over the limit.
     BodyTooLarge,
     /// No reachable set of engines holds the prompt.
@@ -140,6 +142,7 @@
             Self::UnknownModel => permanent(404, "no service has this model"),
             Self::UnknownService => permanent(404, "no service has this name"),
             Self::UnknownAccount => permanent(401, "the credential belongs to no client account"),
+            Self::RegionNotAllowed => permanent(403, "no region is allowed for the request"),
             Self::BodyTooLarge => permanent(413, "the body is over the limit"),
             Self::PromptTooLarge => permanent(413, "no reachable set of engines holds the prompt"),
             Self::MissingKey => permanent(400, "this call needs an Idempotency-Key header"),
@@ -178,6 +181,7 @@
             | Self::UnknownModel
             | Self::UnknownService
             | Self::UnknownAccount
+            | Self::RegionNotAllowed
             | Self::BodyTooLarge
             | Self::PromptTooLarge
             | Self::MissingKey
--- a/crates/gateway/src/config/table.rs
+++ b/crates/gateway/src/config/table.rs
@@ -112,6 +112,12 @@
         self.services.get(name)
     }
 
+    /// Returns the regions that routes and client accounts allow.
+    pub fn regions(&self) -> impl Iterator<Item = &Region> {
+        let routes = self.routes.values().flatten().flat_map(|route| &route.regions);
+        routes.chain(self.accounts.values().flat_map(|account| &account.regions))
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/gateway/src/fleet/exclusion.rs
+++ b/crates/gateway/src/fleet/exclusion.rs
@@ -6,4 +6,6 @@
     Paused,
     /// The availability zone of the server is evacuated.
     Evacuated,
+    /// The request may not run in the region of the server or of one of its helpers.
+    OutOfRegion,
 }
--- a/crates/gateway/src/gateway/candidates.rs
+++ b/crates/gateway/src/gateway/candidates.rs
@@ -12,7 +12,7 @@
 use crate::placement::needs_joint;
 
 impl Gateway {
-    /// Returns the servers that may get a request: none whose zone is evacuated, that
+    /// Returns the servers that may get a request: none outside its regions, whose zone is evacuated, that
     /// has asked for a pause or has reached its rate limit. Failing servers are included only if no other is left.
     pub(super) fn candidates(
         &self,
@@ -24,7 +24,7 @@
         let mut usable = fleet.usable(&request.service.name);
         usable.retain(|s| !tried.contains(&s.id));
         let health = self.health.borrow();
-        usable.retain(|s| self.exclusion(s, now).is_none());
+        usable.retain(|s| self.is_in_region(request, s) && self.exclusion(s, now).is_none());
         self.retain_within_limits(&mut usable, is_reserving(request), now);
         if usable.iter().any(|s| health.is_usable(&s.id, now)) {
             usable.retain(|s| health.is_usable(&s.id, now));
--- a/crates/gateway/src/gateway/evacuations.rs
+++ b/crates/gateway/src/gateway/evacuations.rs
@@ -55,10 +55,11 @@
         server.zone.as_ref().is_some_and(|zone| self.evacuations.borrow().is_evacuated(zone))
     }
 
-    /// Returns whether the service of a request has servers, and all of them are evacuated.
+    /// Returns whether there are servers for a request in its regions, and all are evacuated.
     pub(super) fn is_all_evacuated(&self, request: &Request) -> bool {
         let fleet = self.fleet.borrow();
-        let usable = fleet.usable(&request.service.name);
+        let mut usable = fleet.usable(&request.service.name);
+        usable.retain(|server| self.is_in_region(request, server));
         !usable.is_empty() && usable.into_iter().all(|server| self.is_evacuated(server))
     }
 
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod evacuations;
 mod rate_limits;
+mod regions;
 mod requests;
 mod role;
 mod shutdown;
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -120,7 +120,8 @@
     pub fn may_fit_later(&self, request: &Request) -> bool {
         let fleet = self.fleet.borrow();
         let usable = fleet.usable(&request.service.name);
-        let servers = usable.into_iter().filter(|server| !self.is_evacuated(server)).count();
+        let may_serve = |s: &&Server| !self.is_evacuated(s) && self.is_in_region(request, s);
+        let servers = usable.into_iter().filter(may_serve).count();
         match (&request.service.engine, &request.metadata.prompt) {
             (Some(profile), Some(prompt)) => fits_jointly(prompt, profile, servers),
             _ => false,
@@ -145,7 +146,8 @@
     pub fn time_until_accepted(&self, request: &Request) -> Option<Duration> {
         let (fleet, backoffs, now) = (self.fleet.borrow(), self.backoffs.borrow(), self.now());
         let limits = self.rate_limits.borrow();
-        let servers = fleet.usable(&request.service.name);
+        let mut servers = fleet.usable(&request.service.name);
+        servers.retain(|s| !self.is_evacuated(s) && self.is_in_region(request, s));
         let times = servers.iter().filter_map(|s| {
             let until_within_limit = limits.time_left(&s.id, now)?;
             Some(backoffs.left(&s.id, now).max(until_within_limit))
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -36,6 +36,7 @@
             target: "config", version:% = new, old:%, source:%, routes = config.route_count();
             "configuration in force"
         );
+        self.warn_of_unknown_regions(&config);
         *self.document.borrow_mut() = document;
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.data_loaded.notify_waiters();
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -15,6 +15,7 @@
 use kumquattiller_base::fingerprint::Fingerprint;
 use kumquattiller_base::request;
 use kumquattiller_base::time::Moment;
+use log::info;
 use tokio::time::timeout;
 
 use crate::Gateway;
@@ -27,6 +28,7 @@
 use crate::http::Refusal;
 use crate::http::Request;
 use crate::http::outage_retry_delay;
+use crate::regions::Allowed;
 use crate::suspect::Feature;
 
 /// Fraction of the caller's timeout for which a request waits while a daemon that has just started
@@ -66,6 +68,17 @@
         Err(Denied::NoRoute) => return Err(Refusal::rejected(Kind::NotFound)),
         Err(Denied::UnknownKey) => return Err(Refusal::rejected(Kind::UnknownAccount)),
     };
+    let account_regions = account.as_ref().map(|a| a.regions.as_slice()).unwrap_or_default();
+    let regions = match Allowed::of(&route.regions, account_regions) {
+        Ok(regions) => regions,
+        Err(_) if gateway.is_config_outdated() => {
+            return Err(refuse(Kind::NoConfiguration, outage_retry_delay(rand::random())));
+        }
+        Err(reason) => {
+            info!(target: "request", id = metadata.id, route = route.name, reason:%; "not allowed");
+            return Err(Refusal::rejected(Kind::RegionNotAllowed));
+        }
+    };
     let service = route.service(rand::random()).and_then(|name| config.service(name)).cloned();
     let Some(service) = service else {
         return Err(refuse(Kind::NoRunner, NO_SERVICE_RETRY_DELAY));
@@ -86,6 +99,7 @@
         service,
         priority: account.as_ref().and_then(|a| a.priority).unwrap_or(route.priority),
         account: account.map(|a| a.id),
+        regions,
         method: head.method,
         route,
         uri: path_and_query(&head.uri),
--- a/crates/gateway/src/http/request.rs
+++ b/crates/gateway/src/http/request.rs
@@ -12,6 +12,7 @@
 use crate::config::Service;
 use crate::config::Version;
 use crate::dialect::RequestInfo;
+use crate::regions::Allowed;
 use crate::suspect::Feature;
 
 /// An admitted request from a caller.
@@ -27,6 +28,8 @@
     pub service: Rc<Service>,
     /// The client account.
     pub account: Option<account::Id>,
+    /// Regions in which it may run.
+    pub regions: Allowed,
     /// Priority from the client account or the route; 0 is the highest.
     pub priority: u8,
     /// The HTTP method.
--- a/crates/gateway/src/http/send.rs
+++ b/crates/gateway/src/http/send.rs
@@ -64,7 +64,7 @@
     resume_after: Option<&[u8]>,
 ) -> Exchange {
     gateway.wait_until_evacuations_confirmed().await;
-    if let Some(exclusion) = gateway.withheld(server).or_else(|| gateway.withheld_helper(helpers)) {
+    if let Some(exclusion) = gateway.withheld_from(request, server, helpers) {
         return Exchange::Withheld(exclusion);
     }
     let max_idle = match request.route.retry {
@@ -84,7 +84,7 @@
     };
     gateway.metrics().connection_opened();
     gateway.wait_until_evacuations_confirmed().await;
-    if let Some(exclusion) = gateway.withheld(server).or_else(|| gateway.withheld_helper(helpers)) {
+    if let Some(exclusion) = gateway.withheld_from(request, server, helpers) {
         return Exchange::Withheld(exclusion);
     }
     let outgoing = build_request(gateway, request, server, helpers, resume_after);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! servers. This package does the rest:
 //!
 //! - decisions without I/O: [`config`] (routes, client accounts, versions), [`fleet`] (which
-//!   servers may get work), [`evacuation`] (zones that get nothing new), [`freshness`] (how old the copies of the store are), [`changes`] (what
+//!   servers may get work), [`evacuation`] (zones that get nothing new), [`regions`] (where a request may run), [`freshness`] (how old the copies of the store are), [`changes`] (what
 //!   the copies lack), [`engine`] (prefill times of prompts), [`load`] (requests in flight per
 //!   server), [`placement`] (choice of server and helpers, or a refusal), [`budget`] (retries),
 //!   [`health`] (failing servers), [`backoff`] (pauses that servers ask for), [`rate_limit`] (rates that they state), [`suspect`] (requests that crash servers), [`events`] (splitting
@@ -42,6 +42,7 @@
 pub mod peer;
 pub mod placement;
 pub mod rate_limit;
+pub mod regions;
 pub mod relay;
 pub mod reservation;
 pub mod settings;
--- a/crates/gateway/src/reservation/reservations.rs
+++ b/crates/gateway/src/reservation/reservations.rs
@@ -57,7 +57,7 @@
         for (id, tokens) in parts {
             gateway.wait_until_evacuations_confirmed().await;
             let server = gateway.fleet().borrow().server(&id).cloned()?;
-            if let Some(reason) = gateway.withheld(&server) {
+            if let Some(reason) = gateway.withheld_from(request, &server, &[]) {
                 info!(
                     target: "request", id = request.metadata.id, server:% = id, reason:%;
                     "memory is not reserved, the server has been excluded"
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -15,5 +15,6 @@
 mod placement;
 mod rate_limit;
 mod rate_shares;
+mod regions;
 mod support;
 mod suspects;
