--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod rate_limit;
 mod rate_shares;
+mod regions;
 mod replay;
 mod support;
 mod suspects;
