gateway: the rate of a cold server is divided between all known daemons

Cause: a server that starts cold tolerates few requests a second and crashes above that; nothing read its cold state.

Change: rate_limit keeps, beside the limit that a server states, its cold state with an end. The rate is divided between all daemons that are or were known in the last ten minutes, used or not, so that the bound does not depend on reports. The cold state is learned from registrations, from X-Cold-Ms, from reports of peers (what a server stated to them), or by the service's cold start from the start of a new incarnation. Placement prices the slow start of servers that join. Invalid cold times and settings are logged and ignored.

--- a/crates/gateway/src/config/table.rs
+++ b/crates/gateway/src/config/table.rs
@@ -112,6 +112,11 @@
         self.services.get(name)
     }
 
+    /// Returns whether the servers of any service start cold.
+    pub fn has_cold_starts(&self) -> bool {
+        self.services.values().any(|service| service.cold_start.is_some())
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -96,6 +96,8 @@
     pub pause: Option<Duration>,
     /// Rate of requests that the server takes from all daemons together, if it states one.
     pub rate_limit: Option<Rate>,
+    /// How much longer the server is cold, if it states that; zero if it is warm.
+    pub cold_left: Option<Duration>,
     /// Address of the helper that caused the failure, if it is not the responding server itself.
     pub failed_server: Option<SocketAddr>,
     /// How long the server keeps the connection open.
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -7,11 +7,13 @@
 
 mod exclusion;
 mod server;
+mod starts;
 mod table;
 
 pub use exclusion::Exclusion;
 pub use server::Server;
 pub use server::Status;
+pub use starts::Starts;
 pub use table::Change;
 pub use table::LAPSE_GRACE;
 pub use table::MAX_REGISTRATION_DELAY;
--- a/crates/gateway/src/gateway/candidates.rs
+++ b/crates/gateway/src/gateway/candidates.rs
@@ -10,6 +10,7 @@
 use crate::load::server_key;
 use crate::placement::Candidate;
 use crate::placement::needs_joint;
+use crate::placement::ramp_cost;
 
 impl Gateway {
     /// Returns the servers that may get a request: none that has asked for a pause or has reached
@@ -32,7 +33,15 @@
         let ledger = self.ledger.borrow();
         let peer_loads = ledger.peer_loads(now);
         let load = |s: &Server| ledger.total_load(&s.id, peer_loads.get(&server_key(&s.id)), now);
-        let describe = |s: &Server| Candidate::new(s.id.clone(), load(s), s.slots);
+        let starts = self.starts.borrow();
+        let ramp = |s: &Server, requests: u32| {
+            starts.age(&s.id, now).map_or(0.0, |age| ramp_cost(age, requests, s.slots))
+        };
+        let describe = |s: &Server| {
+            let load = load(s);
+            let ramp_cost = ramp(s, load.requests);
+            Candidate::new(s.id.clone(), load, s.slots).with_ramp_cost(ramp_cost)
+        };
         usable.into_iter().map(describe).collect()
     }
 
--- a/crates/gateway/src/gateway/copies.rs
+++ b/crates/gateway/src/gateway/copies.rs
@@ -108,10 +108,7 @@
     fn apply_change(&self, change: &Change, source: Source) {
         match change {
             Change::Config(document) => self.update_config(document.clone(), source),
-            Change::Server(server) => {
-                let effect = self.fleet.borrow_mut().put(server.clone());
-                self.apply_server_change(&server.id, effect);
-            }
+            Change::Server(server) => self.put_server(server.clone()),
             Change::ServerRemoved(id) => {
                 let effect = self.fleet.borrow_mut().remove(id, self.now());
                 self.apply_server_change(id, effect);
@@ -125,10 +122,12 @@
     /// Replaces the backend servers by a complete list.
     fn replace_servers(&self, objects: &[Change]) {
         let servers: Vec<fleet::Server> = objects.iter().filter_map(Change::server).collect();
+        let news = self.news_of_cold(servers.iter());
         let effects = self.fleet.borrow_mut().replace(servers, self.now());
         for (id, effect) in effects {
             self.apply_server_change(&id, effect);
         }
+        self.apply_cold_registrations(&news);
         self.set_fleet_loaded();
     }
 
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The state of a daemon and its decisions about requests.
 
 mod candidates;
+mod cold;
 mod copies;
 mod rate_limits;
 mod requests;
--- a/crates/gateway/src/gateway/rate_limits.rs
+++ b/crates/gateway/src/gateway/rate_limits.rs
@@ -53,6 +53,7 @@
         if reports.is_empty() && self.rate_limits.borrow().is_empty() {
             return;
         }
+        self.merge_cold(peer, reports);
         let resolve = |key| self.fleet.borrow().by_start_key(key).cloned();
         let changes = self.rate_limits.borrow_mut().merge(peer, reports, resolve, self.now());
         for (server, change) in changes {
@@ -76,6 +77,7 @@
                     "the server states no rate limit any more"
                 );
             }
+            Change::Cold(_) | Change::Warm => {}
         }
     }
 
@@ -88,8 +90,12 @@
         let now = self.now();
         let peers = self.peers.borrow();
         let sending: Vec<&daemon::Id> = peers.serving(now).collect();
-        let join_delay = (report_interval(peers.len()) * JOIN_INTERVALS).max(MIN_JOIN_DELAY);
-        limits.update_shares(&self.settings.name, sending.into_iter(), join_delay, now);
+        limits.update_shares(&self.settings.name, sending.into_iter(), self.join_delay(), now);
+    }
+
+    /// Returns the time in which daemons hear of one another.
+    pub(super) fn join_delay(&self) -> Duration {
+        (report_interval(self.peers.borrow().len()) * JOIN_INTERVALS).max(MIN_JOIN_DELAY)
     }
 
     /// Keeps of `servers` those that take a request now. `is_reserving` is whether the request
@@ -109,7 +115,7 @@
             is_new_user |= limits.record_demand(&s.id, now);
             let is_open = limits.is_open(&s.id, now);
             let may_reserve = || {
-                let share = limits.share(&s.id);
+                let share = limits.share(&s.id, now);
                 share.is_none_or(|share| share.per_second() >= MIN_RESERVING_SHARE)
             };
             is_open && (!is_reserving || may_reserve())
@@ -136,8 +142,9 @@
         self.rate_limits.borrow_mut().take(server, self.now());
     }
 
-    /// Returns whether a server has stated a rate limit.
+    /// Returns whether a server has stated a rate limit or is cold.
     pub fn is_rate_limited(&self, server: &runner::Id) -> bool {
-        self.rate_limits.borrow().rate(server).is_some()
+        let limits = self.rate_limits.borrow();
+        limits.rate(server).is_some() || !limits.cold_left(server, self.now()).is_zero()
     }
 }
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -36,6 +36,7 @@
 use crate::observe::State;
 use crate::peer;
 use crate::peer::Document;
+use crate::placement::RAMP_TIME;
 use crate::rate_limit;
 use crate::settings::Settings;
 use crate::stop::Phase;
@@ -56,6 +57,7 @@
     /// The configuration document as stored.
     pub(super) document: RefCell<Bytes>,
     pub(super) fleet: RefCell<fleet::Table>,
+    pub(super) starts: RefCell<fleet::Starts>,
     pub(super) fleet_loaded: Cell<bool>,
     pub(super) freshness: RefCell<freshness::Table>,
     /// How this daemon learns of changes in the store, as last determined.
@@ -70,6 +72,8 @@
     pub(super) health: RefCell<Health>,
     pub(super) backoffs: RefCell<backoff::Table>,
     pub(super) rate_limits: RefCell<rate_limit::Table>,
+    /// The daemons between which the rates of cold servers are divided.
+    pub(super) roster: RefCell<rate_limit::Roster>,
     /// When each server last sent part of a response.
     pub(super) last_heard: RefCell<HashMap<runner::Id, Moment>>,
     pub(super) suspects: RefCell<Suspects>,
@@ -98,6 +102,9 @@
 impl Gateway {
     /// Creates the state of a daemon without configuration and servers.
     pub fn new(settings: Settings, dialect: Rc<dyn Dialect>) -> Self {
+        if !settings.cold_bound.is_valid() {
+            warn!(target: "process", bound:? = settings.cold_bound; "ignored an invalid cold bound");
+        }
         Self {
             clock: Clock::start(),
             stop: Cell::new(Stop::new(settings.grace)),
@@ -106,6 +113,7 @@
             config: RefCell::default(),
             document: RefCell::default(),
             fleet: RefCell::default(),
+            starts: RefCell::default(),
             fleet_loaded: Cell::new(false),
             freshness: RefCell::default(),
             role: Cell::new(None),
@@ -116,6 +124,7 @@
             health: RefCell::default(),
             backoffs: RefCell::default(),
             rate_limits: RefCell::default(),
+            roster: RefCell::default(),
             last_heard: RefCell::default(),
             suspects: RefCell::default(),
             budgets: RefCell::default(),
@@ -287,6 +296,7 @@
         for id in self.backoffs.borrow_mut().expire(now) {
             info!(target: "fleet", server:% = id; "the pause of the server is over");
         }
+        self.starts.borrow_mut().expire(RAMP_TIME, now);
         let fleet = self.fleet.borrow();
         let known = |id: &runner::Id| fleet.server(id).is_some();
         self.ledger.borrow_mut().expire(now, known);
@@ -295,7 +305,9 @@
         self.rate_limits.borrow_mut().expire(now, known);
         self.last_heard.borrow_mut().retain(|id, _| known(id));
         self.suspects.borrow_mut().expire(now);
+        drop(fleet);
         self.update_rate_shares();
+        self.update_cold_shares();
     }
 
     /// Returns the metrics in the text format.
@@ -307,6 +319,7 @@
             peers: self.peers_alive(),
             in_flight: self.ledger.borrow().len(),
             rate_limited: self.rate_limits.borrow().limited(),
+            cold: self.rate_limits.borrow().cold(self.now()),
             role: self.role.get(),
             ages: freshness::Kind::iter().filter_map(|kind| Some((kind, age(kind)?))).collect(),
         })
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -37,7 +37,10 @@
             "configuration in force"
         );
         *self.document.borrow_mut() = document;
-        *self.config.borrow_mut() = Some(Rc::new(config));
+        let is_first = self.config.replace(Some(Rc::new(config))).is_none();
+        if is_first {
+            self.apply_first_cold_starts();
+        }
         self.data_loaded.notify_waiters();
     }
 
@@ -75,7 +78,11 @@
         }
         for server in servers {
             match fleet::Server::try_from(server) {
-                Ok(server) => _ = self.fleet.borrow_mut().put(server),
+                Ok(server) => {
+                    let news = self.news_of_cold(std::iter::once(&server));
+                    self.fleet.borrow_mut().put(server);
+                    self.apply_cold_registrations(&news);
+                }
                 Err(reason) => warn!(target: "peer", reason:%; "peer sent an invalid server"),
             }
         }
@@ -83,12 +90,24 @@
         self.set_fleet_loaded();
     }
 
+    /// Adds or updates the registration of a server.
+    pub(super) fn put_server(&self, server: fleet::Server) {
+        let news = self.news_of_cold(std::iter::once(&server));
+        let id = server.id.clone();
+        let effect = self.fleet.borrow_mut().put(server);
+        self.apply_server_change(&id, effect);
+        self.apply_cold_registrations(&news);
+    }
+
     /// Logs a change of a server's registration. If the server is new or has restarted, discards
     /// its health record and its idle connections.
     pub fn apply_server_change(&self, id: &runner::Id, change: Change) {
         match change {
             Change::Same => return,
             Change::Joined => {
+                if self.fleet_loaded.get() {
+                    self.starts.borrow_mut().record(id, self.now());
+                }
                 self.health.borrow_mut().reset(id);
                 if let Some(server) = self.fleet.borrow().server(id) {
                     let (start_key, now) = (server.start_key(), self.now());
@@ -103,12 +122,15 @@
         info!(target: "fleet", server:% = id, change:%, known; "server changed");
     }
 
-    /// Applies what a server says of itself in a response: that it is leaving, or that it wants no
-    /// requests for a while.
+    /// Applies what a server says of itself in a response: that it is leaving, how much longer it is
+    /// cold, or that it wants no requests for a while.
     pub fn apply_server_state(&self, server: &fleet::Server, info: &ResponseInfo) {
         if info.leaving {
             self.mark_leaving(&server.id);
         }
+        if let Some(left) = info.cold_left {
+            self.apply_cold_response(server, left);
+        }
         if let Some(pause) = info.pause {
             self.pause_server(server, pause);
         }
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -44,6 +44,8 @@
     servers_paused: Counter,
     rate_limits_stated: Counter,
     rate_limited: Gauge,
+    servers_cold: Counter,
+    cold: Gauge,
     responses: Family<Label, Histogram, fn() -> Histogram>,
     first_event: Histogram,
     timer_delay: Histogram,
@@ -75,6 +77,8 @@
             servers_paused: Counter::default(),
             rate_limits_stated: Counter::default(),
             rate_limited: Gauge::default(),
+            servers_cold: Counter::default(),
+            cold: Gauge::default(),
             responses: Family::new_with_constructor(latency_histogram),
             first_event: latency_histogram(),
             timer_delay: latency_histogram(),
@@ -131,6 +135,12 @@
             "Servers that state a rate limit",
             self.rate_limited.clone(),
         );
+        registry.register(
+            "servers_cold",
+            "Times that a server became cold",
+            self.servers_cold.clone(),
+        );
+        registry.register("cold_servers", "Servers that are cold", self.cold.clone());
         registry.register_with_unit(
             "answer",
             "Time to the whole answer",
@@ -216,6 +226,11 @@
         self.rate_limits_stated.inc();
     }
 
+    /// Counts a server that has become cold.
+    pub fn server_cold(&self) {
+        self.servers_cold.inc();
+    }
+
     /// Observes the time to a complete response.
     pub fn response_completed(&self, streaming: bool, time: Duration) {
         let kind = if streaming { "stream" } else { "plain" };
@@ -244,6 +259,7 @@
         self.peers.set(state.peers as i64);
         self.in_flight.set(state.in_flight as i64);
         self.rate_limited.set(state.rate_limited as i64);
+        self.cold.set(state.cold as i64);
         self.store_watcher.set(i64::from(state.role == Some(Role::Watcher)));
         for (kind, age) in state.ages {
             let label = [("kind", kind.to_string())];
@@ -270,6 +286,8 @@
     pub in_flight: usize,
     /// Servers that state a rate limit.
     pub rate_limited: usize,
+    /// Servers that are cold.
+    pub cold: usize,
     /// How the daemon learns of changes in the store, if that is known yet.
     pub role: Option<Role>,
     /// Ages of the copies of the store that were ever confirmed.
--- a/crates/gateway/src/peer/rate_limit.rs
+++ b/crates/gateway/src/peer/rate_limit.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use crate::rate_limit;
+use crate::rate_limit::ColdStatement;
 use crate::rate_limit::InvalidRate;
 use crate::rate_limit::Rate;
 
@@ -16,6 +17,13 @@
     /// What the server stated to the daemon itself.
     #[prost(message, optional, tag = "3")]
     pub statement: Option<RateStatement>,
+    /// How much longer the server is cold, in milliseconds, by what it stated to the daemon itself; 0
+    /// if it is warm.
+    #[prost(uint32, optional, tag = "5")]
+    pub cold_left_ms: Option<u32>,
+    /// Time since that response, in milliseconds.
+    #[prost(uint32, tag = "6")]
+    pub cold_age_ms: u32,
 }
 
 /// What a server stated of its rate limit.
@@ -35,6 +43,8 @@
             server: report.server,
             wanted: report.wanted,
             statement: report.statement.map(Into::into),
+            cold_left_ms: report.cold.map(|cold| saturating_millis(cold.left)),
+            cold_age_ms: report.cold.map_or(0, |cold| saturating_millis(cold.age)),
         }
     }
 }
@@ -43,7 +53,7 @@
     fn from(statement: rate_limit::Statement) -> Self {
         Self {
             per_second: statement.rate.map(Rate::per_second),
-            age_ms: u32::try_from(statement.age.as_millis()).unwrap_or(u32::MAX),
+            age_ms: saturating_millis(statement.age),
         }
     }
 }
@@ -53,7 +63,11 @@
 
     fn try_from(limit: &RateLimit) -> Result<Self, Self::Error> {
         let statement = limit.statement.as_ref().map(TryInto::try_into).transpose()?;
-        Ok(Self { server: limit.server, wanted: limit.wanted, statement })
+        let cold = limit.cold_left_ms.map(|left| ColdStatement {
+            left: Duration::from_millis(left.into()),
+            age: Duration::from_millis(limit.cold_age_ms.into()),
+        });
+        Ok(Self { server: limit.server, wanted: limit.wanted, statement, cold })
     }
 }
 
@@ -67,3 +81,7 @@
         })
     }
 }
+
+fn saturating_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -138,6 +138,11 @@
         if near.is_empty() { addresses(false) } else { near }
     }
 
+    /// Returns the ids of all peers that are known.
+    pub fn ids(&self) -> impl Iterator<Item = &daemon::Id> {
+        self.peers.keys()
+    }
+
     /// Returns the registered daemons.
     pub fn members(&self) -> impl Iterator<Item = Member> {
         self.peers.iter().filter(|(_, p)| p.registered).map(|(id, p)| p.member(id))
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -11,6 +11,7 @@
 mod plain;
 mod plan;
 mod prompt;
+mod ramp;
 mod utility;
 
 pub use candidate::Candidate;
@@ -24,5 +25,7 @@
 pub use prompt::is_long;
 pub use prompt::needs_joint;
 pub use prompt::place_prompt;
+pub use ramp::RAMP_TIME;
+pub use ramp::ramp_cost;
 pub use utility::first_urgency;
 pub use utility::request_value;
--- a/crates/gateway/src/placement/plain.rs
+++ b/crates/gateway/src/placement/plain.rs
@@ -7,13 +7,14 @@
 ///
 /// This suits many short calls of similar cost, which are delayed mainly by the server's queue.
 /// `draw` is a uniform random number in 0..1 that breaks ties, so that daemons that see the same
-/// loads do not all choose the same server.
+/// loads do not all choose the same server. The cost of a slow start counts as requests per slot.
 ///
 /// # Errors
 ///
 /// Returns [`Declined::NoServer`] if there are no candidates.
 pub fn place_plain(candidates: &[Candidate], draw: f64) -> Result<Placement, Declined> {
-    let requests_per_slot = |c: &Candidate| f64::from(c.load.requests) / f64::from(c.slots.max(1));
+    let requests_per_slot =
+        |c: &Candidate| f64::from(c.load.requests) / f64::from(c.slots.max(1)) + c.ramp_cost;
     let lowest = candidates
         .iter()
         .map(requests_per_slot)
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -119,7 +119,9 @@
         let pass_ms = utility::pass_ms(self.profile, candidate, part_ms);
         let value = utility::request_value(self.prompt.tokens);
         let gap_loss = utility::lateness(pass_ms, utility::millis(self.target_gap));
-        let mut cost = value * gap_loss + f64::from(load.requests) * REQUEST_COST;
+        let mut cost = value * gap_loss
+            + f64::from(load.requests) * REQUEST_COST
+            + value * candidate.ramp_cost;
         if load.memory + self.memory().get() > self.profile.memory.get() {
             cost += NO_MEMORY_COST;
         }
@@ -263,10 +265,11 @@
 }
 
 /// Returns the cost of prefilling a part on a server: delays of its streams and of the prompts that
-/// wait there, and the wait for its backlog.
+/// wait there, the wait for its backlog, and its slow start.
 pub fn participant_cost(request: &Request<'_>, candidate: &Candidate, part_ms: f64) -> f64 {
     utility::stream_loss(request.profile, candidate, part_ms)
         + utility::waiting_loss(candidate, part_ms)
         + candidate.load.backlog_ms / 1e3 * WAIT_COST_PER_S
+        + candidate.ramp_cost
         + PARTICIPANT_COST
 }
--- /dev/null
+++ b/crates/gateway/src/rate_limit/cold.rs
@@ -0,0 +1,160 @@
+use std::time::Duration;
+
+use kumquattiller_base::daemon;
+use kumquattiller_base::runner;
+use kumquattiller_base::time::Moment;
+
+use crate::rate_limit::Allowance;
+use crate::rate_limit::ColdStatement;
+use crate::rate_limit::Division;
+use crate::rate_limit::Origin;
+use crate::rate_limit::Rate;
+use crate::rate_limit::Roster;
+use crate::rate_limit::Terms;
+
+/// Longest time for which a server may be cold.
+pub const MAX_COLD_TIME: Duration = Duration::from_secs(600);
+
+/// What a share was determined from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Basis {
+    rate: Option<Rate>,
+    generation: u64,
+    is_settled: bool,
+}
+
+/// What is known of the cold state of a server.
+#[derive(Debug)]
+pub(super) struct Cold {
+    /// Time of the latest statement.
+    at: Moment,
+    /// When the server is warm, according to it.
+    ends: Moment,
+    /// Whether the server made it in a response to this daemon.
+    is_own: bool,
+    basis: Option<Basis>,
+    /// The share of a daemon that has one, whether or not this one does.
+    usual_share: Option<Rate>,
+    allowance: Allowance,
+}
+
+impl Cold {
+    /// Creates the state of a server that is not cold.
+    pub(super) const fn over(now: Moment) -> Self {
+        Self {
+            at: Moment::ZERO,
+            ends: Moment::ZERO,
+            is_own: false,
+            basis: None,
+            usual_share: None,
+            allowance: Allowance::empty(now),
+        }
+    }
+
+    /// Returns whether the server is cold.
+    pub(super) fn is_active(&self, now: Moment) -> bool {
+        self.ends > now
+    }
+
+    /// Returns how much longer the server is cold.
+    pub(super) const fn left(&self, now: Moment) -> Duration {
+        self.ends.since(now)
+    }
+
+    /// Applies a statement, unless a newer one is known. A server that was warm begins with empty
+    /// shares.
+    pub(super) fn record(&mut self, statement: ColdStatement, origin: Origin, now: Moment) {
+        let at = now - statement.age;
+        if at < self.at || (at == self.at && origin == Origin::Peer) {
+            return;
+        }
+        if !self.is_active(now) {
+            self.allowance = Allowance::empty(now);
+            self.basis = None;
+        }
+        self.at = at;
+        self.ends = now + statement.left.min(MAX_COLD_TIME);
+        self.is_own = origin == Origin::Response;
+    }
+
+    /// Ends the cold state of an incarnation that is gone. What was saved and the share stay: the new
+    /// one may be cold as well.
+    pub(super) const fn end(&mut self, now: Moment) {
+        self.at = now;
+        self.ends = Moment::ZERO;
+        self.is_own = false;
+    }
+
+    /// Determines the share of this daemon again, if anything that it depends on has changed.
+    pub(super) fn update_share(
+        &mut self,
+        own: &daemon::Id,
+        server: &runner::Id,
+        roster: &Roster,
+        terms: Terms,
+        now: Moment,
+    ) {
+        let Terms { rate, bound, join_delay } = terms;
+        let is_settled = roster.is_settled(join_delay, now);
+        let basis = Basis { rate, generation: roster.generation(), is_settled };
+        if self.basis == Some(basis) {
+            return;
+        }
+        self.basis = Some(basis);
+        let division = rate.map(|rate| Division::of(rate, bound, roster.daemons()));
+        self.usual_share = division.and_then(|division| division.share);
+        let is_sharer = |d: &Division| is_settled && roster.is_sharer(own, server, d.sharers);
+        let share = division.filter(is_sharer).and_then(|division| division.share);
+        self.allowance.set_share(share, now);
+    }
+
+    /// Returns whether the limit binds: the server is cold, and its rate is known or not yet looked
+    /// up.
+    fn binds(&self, now: Moment) -> bool {
+        self.is_active(now) && self.basis.is_none_or(|basis| basis.rate.is_some())
+    }
+
+    /// Returns this daemon's share while the limit binds.
+    pub(super) fn share(&self, now: Moment) -> Option<Rate> {
+        self.allowance.share().filter(|_| self.binds(now))
+    }
+
+    /// Returns whether a request may be sent now.
+    pub(super) fn is_open(&self, now: Moment) -> bool {
+        !self.binds(now) || self.allowance.is_open(now)
+    }
+
+    /// Returns the time until a request may be sent. A daemon without a share states when another
+    /// one may have room, since callers mostly come back there.
+    pub(super) fn time_left(&self, now: Moment) -> Duration {
+        if !self.binds(now) {
+            return Duration::ZERO;
+        }
+        let elsewhere = || self.usual_share.map(|share| share.time_for(1.0));
+        let in_share = self.allowance.time_left(now).or_else(elsewhere);
+        in_share.unwrap_or(Duration::MAX).min(self.left(now))
+    }
+
+    /// Counts a request that is sent to the server.
+    pub(super) fn take(&mut self, now: Moment) {
+        if self.is_active(now) {
+            self.allowance.take(now);
+        }
+    }
+
+    /// Returns whether the cold state has ended long enough ago that all peers know of it.
+    pub(super) fn is_over(&self, retention: Duration, now: Moment) -> bool {
+        !self.is_active(now) && now.since(self.at.max(self.ends)) > retention
+    }
+
+    /// Returns whether the latest statement is older than this.
+    pub(super) fn is_older_than(&self, age: Duration, now: Moment) -> bool {
+        now.since(self.at) > age
+    }
+
+    /// Returns what the peers are told: what the server stated to this daemon, if it is the latest.
+    pub(super) fn report(&self, now: Moment) -> Option<ColdStatement> {
+        let statement = ColdStatement { left: self.left(now), age: now.since(self.at) };
+        self.is_own.then_some(statement)
+    }
+}
--- a/crates/gateway/src/rate_limit/mod.rs
+++ b/crates/gateway/src/rate_limit/mod.rs
@@ -9,19 +9,42 @@
 //!
 //! Shares begin empty and views of the fleet may differ for a while: a daemon waits for the reports
 //! of its peers before it takes a share, and loses what it has saved when it is no longer chosen.
+//!
+//! A server that starts cold tolerates a rate that its service states ([`Cold`](Origin), until a
+//! time). Here, the bound holds over every second and over daemons that hear nothing of one another,
+//! at loads of a few requests a second for each server. Therefore the rate is divided between all
+//! daemons that are or were known ([`Roster`]), whether or not they use the server, by [`Division`].
+//! If both limits of a server hold, a request has to be within both.
 
+mod allowance;
 mod bucket;
+mod change;
+mod cold;
+mod cold_statement;
+mod division;
 mod entry;
+mod origin;
 mod rate;
 mod report;
+mod roster;
 mod table;
+mod terms;
 
+use allowance::Allowance;
 use bucket::Bucket;
+pub use change::Change;
+use cold::Cold;
+pub use cold::MAX_COLD_TIME;
+pub use cold_statement::ColdStatement;
+pub use division::Division;
 use entry::Entry;
 pub use entry::max_sharers;
+pub use origin::Origin;
 pub use rate::InvalidRate;
 pub use rate::Rate;
 pub use report::Report;
 pub use report::Statement;
-pub use table::Change;
+pub use roster::MEMORY;
+pub use roster::Roster;
 pub use table::Table;
+pub use terms::Terms;
--- a/crates/gateway/src/rate_limit/rate.rs
+++ b/crates/gateway/src/rate_limit/rate.rs
@@ -36,6 +36,11 @@
         Self(self.0 / sharers.max(1) as f64)
     }
 
+    /// Returns this rate, or a lower one of `most` requests a second.
+    pub const fn at_most(self, most: f64) -> Self {
+        Self(self.0.min(most))
+    }
+
     /// Returns the number of requests in a time.
     pub fn in_time(self, time: Duration) -> f64 {
         self.0 * time.as_secs_f64()
--- a/crates/gateway/src/rate_limit/report.rs
+++ b/crates/gateway/src/rate_limit/report.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use crate::rate_limit::ColdStatement;
 use crate::rate_limit::Rate;
 
 /// What a server stated to the daemon that reports it.
@@ -20,4 +21,6 @@
     pub wanted: bool,
     /// What the server stated to this daemon itself, if anything.
     pub statement: Option<Statement>,
+    /// How much longer the server is cold by what it stated to this daemon itself, if anything.
+    pub cold: Option<ColdStatement>,
 }
--- a/crates/gateway/src/rate_limit/table.rs
+++ b/crates/gateway/src/rate_limit/table.rs
@@ -6,24 +6,20 @@
 use kumquattiller_base::time::Moment;
 
 use crate::fleet::MAX_REGISTRATION_DELAY;
+use crate::rate_limit::Change;
+use crate::rate_limit::ColdStatement;
 use crate::rate_limit::Entry;
+use crate::rate_limit::Origin;
 use crate::rate_limit::Rate;
 use crate::rate_limit::Report;
+use crate::rate_limit::Roster;
+use crate::rate_limit::Terms;
 
 /// Time for which the end of a limit is reported to the peers.
 const END_RETENTION: Duration = Duration::from_secs(10);
 /// Time for which the limit of a server without a registration is kept.
 const UNKNOWN_RETENTION: Duration = Duration::from_secs(30);
 
-/// Effect of a response or a report on the limit of a server, for the log.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Change {
-    /// The server has stated this limit.
-    Stated(Rate),
-    /// The server states no limit any more.
-    Lifted,
-}
-
 /// The limits of the servers, and this daemon's shares of them.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -55,13 +51,60 @@
             (None, Some(rate)) => {
                 let mut entry = Entry::new(start_key, rate, now, now);
                 entry.record_statement(Some(rate), now);
-                self.entries.insert(server.clone(), entry);
+                self.insert(server, entry);
                 Some(Change::Stated(rate))
             }
             _ => None,
         }
     }
 
+    /// Applies a statement of how much longer a server is cold, unless a newer one is known. Returns
+    /// what has changed. A server that becomes cold gets nothing of this daemon until
+    /// [`update_cold_shares`](Self::update_cold_shares) is called.
+    pub fn record_cold(
+        &mut self,
+        server: &runner::Id,
+        start_key: u64,
+        statement: ColdStatement,
+        origin: Origin,
+        now: Moment,
+    ) -> Option<Change> {
+        if statement.left.is_zero() && !self.entries.contains_key(server) {
+            return None;
+        }
+        let entry = self
+            .entries
+            .entry(server.clone())
+            .or_insert_with(|| Entry::without_statement(start_key, now));
+        if entry.start_key != start_key {
+            entry.restart(start_key, MAX_REGISTRATION_DELAY, now);
+        }
+        let before = entry.cold_left(now);
+        entry.record_cold(statement, origin, now);
+        let left = entry.cold_left(now);
+        match (before.is_zero(), left.is_zero()) {
+            (true, false) => Some(Change::Cold(left)),
+            (false, true) => Some(Change::Warm),
+            _ => None,
+        }
+    }
+
+    /// Determines this daemon's shares of the rates of cold servers again. `terms` returns what holds
+    /// for a server.
+    pub fn update_cold_shares(
+        &mut self,
+        own: &daemon::Id,
+        roster: &Roster,
+        terms: impl Fn(&runner::Id) -> Terms,
+        now: Moment,
+    ) {
+        for (id, entry) in &mut self.entries {
+            if !entry.cold_left(now).is_zero() {
+                entry.update_cold_share(own, id, roster, terms(id), now);
+            }
+        }
+    }
+
     /// Applies the report of a peer on the servers that `resolve` finds by their start keys; returns
     /// what has changed.
     pub fn merge(
@@ -109,8 +152,16 @@
         if let Some((rate, at)) = statement {
             let mut entry = Entry::new(report.server, rate, at, now);
             entry.merge(peer, report, now);
-            self.entries.insert(server.clone(), entry);
+            self.insert(server, entry);
+        }
+    }
+
+    /// Inserts the entry of an incarnation, with the cold state that is known of the server.
+    fn insert(&mut self, server: &runner::Id, mut entry: Entry) {
+        if let Some(old) = self.entries.remove(server) {
+            entry.keep_cold(old);
         }
+        self.entries.insert(server.clone(), entry);
     }
 
     /// Determines the shares of this daemon again. `peers` are the other daemons that send requests.
@@ -137,9 +188,19 @@
         self.entries.get(server).and_then(Entry::rate)
     }
 
-    /// Returns this daemon's share of the limit of a server, if it has one.
-    pub fn share(&self, server: &runner::Id) -> Option<Rate> {
-        self.entries.get(server).and_then(Entry::share)
+    /// Returns this daemon's share of the limits of a server, if it has one.
+    pub fn share(&self, server: &runner::Id, now: Moment) -> Option<Rate> {
+        self.entries.get(server).and_then(|entry| entry.share(now))
+    }
+
+    /// Returns how much longer a server is cold.
+    pub fn cold_left(&self, server: &runner::Id, now: Moment) -> Duration {
+        self.entries.get(server).map_or(Duration::ZERO, |entry| entry.cold_left(now))
+    }
+
+    /// Returns the number of cold servers.
+    pub fn cold(&self, now: Moment) -> usize {
+        self.entries.values().filter(|entry| !entry.cold_left(now).is_zero()).count()
     }
 
     /// Returns whether a request may be sent to a server now.
@@ -162,19 +223,15 @@
 
     /// Returns what the peers are told.
     pub fn reports(&self, now: Moment) -> impl Iterator<Item = Report> {
-        self.entries.values().map(move |entry| entry.report(now))
+        self.entries.values().filter_map(move |entry| entry.report(now))
     }
 
-    /// Discards the limit of a server that has restarted, unless the limit was stated so recently
-    /// that it may be one of the new incarnation.
+    /// Discards the limits of a server that has restarted, unless they were stated so recently that
+    /// they may be those of the new incarnation.
     pub fn restart(&mut self, server: &runner::Id, start_key: u64, now: Moment) {
         let entry = self.entries.get_mut(server).filter(|entry| entry.start_key != start_key);
-        let Some(entry) = entry else {
-            return;
-        };
-        match entry.is_older_than(MAX_REGISTRATION_DELAY, now) {
-            true => _ = self.entries.remove(server),
-            false => entry.start_key = start_key,
+        if let Some(entry) = entry {
+            entry.restart(start_key, MAX_REGISTRATION_DELAY, now);
         }
     }
 
@@ -186,7 +243,7 @@
         });
     }
 
-    /// Returns the number of servers with a limit.
+    /// Returns the number of servers that state a limit.
     pub fn limited(&self) -> usize {
         self.entries.values().filter(|entry| entry.rate().is_some()).count()
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,6 +10,7 @@
 
 use crate::budget;
 use crate::peer::Member;
+use crate::rate_limit::Rate;
 
 /// The settings of one daemon.
 #[derive(Debug, Clone, PartialEq)]
@@ -53,6 +54,23 @@
     pub slack: f64,
 }
 
+impl ColdBound {
+    /// The rate itself.
+    const EXACT: Self = Self { overshoot: 1.0, slack: 0.0 };
+
+    /// Returns the most requests that a cold server may get in one second. Values that make no sense
+    /// leave no room beyond the rate.
+    pub fn requests(self, rate: Rate) -> usize {
+        let Self { overshoot, slack } = if self.is_valid() { self } else { Self::EXACT };
+        (rate.per_second() * overshoot + slack) as usize
+    }
+
+    /// Returns whether both values are numbers that are not negative.
+    pub fn is_valid(self) -> bool {
+        [self.overshoot, self.slack].iter().all(|value| value.is_finite() && *value >= 0.0)
+    }
+}
+
 impl Settings {
     /// Returns how this daemon registers itself.
     pub fn member(&self) -> Member {
--- a/crates/gateway/tests/testsuite/rate_limit.rs
+++ b/crates/gateway/tests/testsuite/rate_limit.rs
@@ -24,7 +24,7 @@
 
 fn report(per_second: Option<f64>, age_ms: u64) -> Report {
     let statement = Statement { rate: per_second.map(rate), age: Duration::from_millis(age_ms) };
-    Report { server: START_KEY, wanted: true, statement: Some(statement) }
+    Report { server: START_KEY, wanted: true, statement: Some(statement), cold: None }
 }
 
 fn merge(table: &mut Table, report: Report, now: Moment) -> Vec<(runner::Id, Change)> {
