gateway: nothing is sent just after a server has become cold; tests of cold servers

Cause: what was placed while a server was warm could be sent after it had become cold, uncounted. Change: for the timeout of a connection after a server has become cold, it is excluded (Exclusion::Cold). Cold servers get no new reservations, whose calls do not wait.

--- a/crates/gateway/src/fleet/exclusion.rs
+++ b/crates/gateway/src/fleet/exclusion.rs
@@ -4,4 +4,6 @@
 pub enum Exclusion {
     /// The server has asked for a pause.
     Paused,
+    /// The server has become cold after the request was placed.
+    Cold,
 }
--- a/crates/gateway/src/gateway/candidates.rs
+++ b/crates/gateway/src/gateway/candidates.rs
@@ -55,6 +55,9 @@
         if !self.backoffs.borrow().left(&server.id, now).is_zero() {
             return Some(Exclusion::Paused);
         }
+        if self.rate_limits.borrow().is_cold_beginning(&server.id, now) {
+            return Some(Exclusion::Cold);
+        }
         None
     }
 }
--- a/crates/gateway/src/gateway/rate_limits.rs
+++ b/crates/gateway/src/gateway/rate_limits.rs
@@ -99,7 +99,8 @@
     }
 
     /// Keeps of `servers` those that take a request now. `is_reserving` is whether the request
-    /// reserves memory, which takes more calls to a server than a low limit leaves room for.
+    /// reserves memory, which takes more calls to a server than a low limit leaves room for. Calls
+    /// for a reservation do not wait, so a cold server, which may crash of them, gets none.
     pub(super) fn retain_within_limits(
         &self,
         servers: &mut Vec<&fleet::Server>,
@@ -116,7 +117,8 @@
             let is_open = limits.is_open(&s.id, now);
             let may_reserve = || {
                 let share = limits.share(&s.id, now);
-                share.is_none_or(|share| share.per_second() >= MIN_RESERVING_SHARE)
+                let is_warm = limits.cold_left(&s.id, now).is_zero();
+                is_warm && share.is_none_or(|share| share.per_second() >= MIN_RESERVING_SHARE)
             };
             is_open && (!is_reserving || may_reserve())
         });
--- a/crates/gateway/src/rate_limit/cold.rs
+++ b/crates/gateway/src/rate_limit/cold.rs
@@ -15,6 +15,10 @@
 /// Longest time for which a server may be cold.
 pub const MAX_COLD_TIME: Duration = Duration::from_secs(600);
 
+/// Longest time from the placement of a request until it is sent: the timeout for connecting to its
+/// server. Requests that were placed over such a time may be sent at once.
+pub(super) const MAX_SEND_DELAY: Duration = Duration::from_millis(250);
+
 /// What a share was determined from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Basis {
@@ -28,7 +32,9 @@
 pub(super) struct Cold {
     /// Time of the latest statement.
     at: Moment,
-    /// When the server is warm, according to it.
+    /// Since when the server is cold.
+    since: Moment,
+    /// When the server is warm, according to the latest statement.
     ends: Moment,
     /// Whether the server made it in a response to this daemon.
     is_own: bool,
@@ -43,6 +49,7 @@
     pub(super) const fn over(now: Moment) -> Self {
         Self {
             at: Moment::ZERO,
+            since: Moment::ZERO,
             ends: Moment::ZERO,
             is_own: false,
             basis: None,
@@ -71,14 +78,14 @@
         if !self.is_active(now) {
             self.allowance = Allowance::empty(now);
             self.basis = None;
+            self.since = now;
         }
         self.at = at;
         self.ends = now + statement.left.min(MAX_COLD_TIME);
         self.is_own = origin == Origin::Response;
     }
 
-    /// Ends the cold state of an incarnation that is gone. What was saved and the share stay: the new
-    /// one may be cold as well.
+    /// Ends the cold state of an incarnation that is gone.
     pub(super) const fn end(&mut self, now: Moment) {
         self.at = now;
         self.ends = Moment::ZERO;
@@ -114,6 +121,12 @@
         self.is_active(now) && self.basis.is_none_or(|basis| basis.rate.is_some())
     }
 
+    /// Returns whether the server has become cold so recently that what is about to be sent may have
+    /// been placed before.
+    pub(super) fn is_beginning(&self, now: Moment) -> bool {
+        self.binds(now) && now.since(self.since) < MAX_SEND_DELAY
+    }
+
     /// Returns this daemon's share while the limit binds.
     pub(super) fn share(&self, now: Moment) -> Option<Rate> {
         self.allowance.share().filter(|_| self.binds(now))
@@ -121,7 +134,7 @@
 
     /// Returns whether a request may be sent now.
     pub(super) fn is_open(&self, now: Moment) -> bool {
-        !self.binds(now) || self.allowance.is_open(now)
+        !self.binds(now) || (self.allowance.is_open(now) && !self.is_beginning(now))
     }
 
     /// Returns the time until a request may be sent. A daemon without a share states when another
--- a/crates/gateway/src/rate_limit/division.rs
+++ b/crates/gateway/src/rate_limit/division.rs
@@ -1,12 +1,10 @@
+use crate::rate_limit::MAX_SEND_DELAY;
 use crate::rate_limit::Rate;
 use crate::settings::ColdBound;
 
 /// Fraction of the bound that is divided. The remainder is for daemons that are not in every list
 /// of the daemons yet.
 const DIVIDED_FRACTION: f64 = 0.85;
-/// Longest time from the placement of a request until it is sent, in seconds: the timeout for
-/// connecting to its server. Requests that are placed over such a time may be sent at once.
-const MAX_SEND_DELAY_S: f64 = 0.25;
 /// Keeps what a share adds in one window strictly below one more request.
 const STRICTLY_BELOW: f64 = 0.99;
 
@@ -30,7 +28,7 @@
             return Self { sharers, share: None };
         }
         let in_window = (divided / sharers) as f64;
-        let most = in_window * STRICTLY_BELOW / (1.0 + MAX_SEND_DELAY_S);
+        let most = in_window * STRICTLY_BELOW / (1.0 + MAX_SEND_DELAY.as_secs_f64());
         Self { sharers, share: Some(rate.divided_by(sharers).at_most(most)) }
     }
 }
--- a/crates/gateway/src/rate_limit/entry.rs
+++ b/crates/gateway/src/rate_limit/entry.rs
@@ -103,6 +103,11 @@
         self.cold.left(now)
     }
 
+    /// Returns whether the server has just become cold.
+    pub(super) fn is_cold_beginning(&self, now: Moment) -> bool {
+        self.cold.is_beginning(now)
+    }
+
     /// Applies a statement of how much longer the server is cold, unless a newer one is known.
     pub(super) fn record_cold(&mut self, statement: ColdStatement, origin: Origin, now: Moment) {
         self.cold.record(statement, origin, now);
--- a/crates/gateway/src/rate_limit/mod.rs
+++ b/crates/gateway/src/rate_limit/mod.rs
@@ -35,6 +35,7 @@
 pub use change::Change;
 use cold::Cold;
 pub use cold::MAX_COLD_TIME;
+use cold::MAX_SEND_DELAY;
 pub use cold_statement::ColdStatement;
 pub use division::Division;
 use entry::Entry;
--- a/crates/gateway/src/rate_limit/table.rs
+++ b/crates/gateway/src/rate_limit/table.rs
@@ -198,6 +198,12 @@
         self.entries.get(server).map_or(Duration::ZERO, |entry| entry.cold_left(now))
     }
 
+    /// Returns whether a server has become cold so recently that what is about to be sent may have been
+    /// placed before, without regard to the limit.
+    pub fn is_cold_beginning(&self, server: &runner::Id, now: Moment) -> bool {
+        self.entries.get(server).is_some_and(|entry| entry.is_cold_beginning(now))
+    }
+
     /// Returns the number of cold servers.
     pub fn cold(&self, now: Moment) -> usize {
         self.entries.values().filter(|entry| !entry.cold_left(now).is_zero()).count()
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -2,6 +2,8 @@
 
 mod backoff;
 mod changes;
+mod cold;
+mod cold_shares;
 mod config;
 mod decisions;
 mod events;
