--- a/crates/gateway/src/fleet/exclusion.rs
+++ b/crates/gateway/src/fleet/exclusion.rs
@@ -8,4 +8,6 @@
     Evacuated,
     /// The request may not run in the region of the server or of one of its helpers.
     OutOfRegion,
+    /// The server has become cold after the request was placed.
+    Cold,
 }
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -39,6 +39,7 @@
 use crate::pause;
 use crate::peer;
 use crate::peer::Document;
+use crate::placement::RAMP_TIME;
 use crate::rate_limit;
 use crate::settings::Settings;
 use crate::stop::Phase;
@@ -59,6 +60,7 @@
     /// The configuration document as stored.
     pub(super) document: RefCell<Bytes>,
     pub(super) fleet: RefCell<fleet::Table>,
+    pub(super) starts: RefCell<fleet::Starts>,
     pub(super) fleet_loaded: Cell<bool>,
     pub(super) freshness: RefCell<freshness::Table>,
     /// How this daemon learns of changes in the store, as last determined.
@@ -79,6 +81,8 @@
     pub(super) health: RefCell<Health>,
     pub(super) backoffs: RefCell<backoff::Table>,
     pub(super) rate_limits: RefCell<rate_limit::Table>,
+    /// The daemons between which the rates of cold servers are divided.
+    pub(super) roster: RefCell<rate_limit::Roster>,
     /// When each server last sent part of a response.
     pub(super) last_heard: RefCell<HashMap<runner::Id, Moment>>,
     pub(super) suspects: RefCell<Suspects>,
@@ -107,6 +111,9 @@
 impl Gateway {
     /// Creates the state of a daemon without configuration and servers.
     pub fn new(settings: Settings, dialect: Rc<dyn Dialect>) -> Self {
+        if !settings.cold_bound.is_valid() {
+            warn!(target: "process", bound:? = settings.cold_bound; "ignored an invalid cold bound");
+        }
         Self {
             clock: Clock::start(),
             stop: Cell::new(Stop::new(settings.grace)),
@@ -115,6 +122,7 @@
             config: RefCell::default(),
             document: RefCell::default(),
             fleet: RefCell::default(),
+            starts: RefCell::default(),
             fleet_loaded: Cell::new(false),
             freshness: RefCell::default(),
             role: Cell::new(None),
@@ -129,6 +137,7 @@
             health: RefCell::default(),
             backoffs: RefCell::default(),
             rate_limits: RefCell::default(),
+            roster: RefCell::default(),
             last_heard: RefCell::default(),
             suspects: RefCell::default(),
             budgets: RefCell::default(),
@@ -302,6 +311,7 @@
         for id in self.backoffs.borrow_mut().expire(now) {
             info!(target: "fleet", server:% = id; "the pause of the server is over");
         }
+        self.starts.borrow_mut().expire(RAMP_TIME, now);
         let fleet = self.fleet.borrow();
         let known = |id: &runner::Id| fleet.server(id).is_some();
         self.ledger.borrow_mut().expire(now, known);
@@ -310,7 +320,9 @@
         self.rate_limits.borrow_mut().expire(now, known);
         self.last_heard.borrow_mut().retain(|id, _| known(id));
         self.suspects.borrow_mut().expire(now);
+        drop(fleet);
         self.update_rate_shares();
+        self.update_cold_shares();
     }
 
     /// Returns the metrics in the text format.
@@ -323,6 +335,7 @@
             in_flight: self.ledger.borrow().len(),
             evacuated_zones: self.evacuations.borrow().zones().len(),
             rate_limited: self.rate_limits.borrow().limited(),
+            cold: self.rate_limits.borrow().cold(self.now()),
             role: self.role.get(),
             ages: freshness::Kind::iter().filter_map(|kind| Some((kind, age(kind)?))).collect(),
         })
