routing: admission queue that orders large prompts across daemons

Cause: large prompts that the servers have no room for are polled each by itself; nothing orders them, and a Retry-After reserves nothing. Change: routing::queue, a state machine without clock or network. Order by urgency, promise, max-min share of the client account and time left; memory is kept for aged requests; a refusal holds capacity for the return; bounded reports tell the other daemons what waits and what is promised.

--- a/crates/routing/src/admission/mod.rs
+++ b/crates/routing/src/admission/mod.rs
@@ -13,7 +13,7 @@
 mod gate;
 mod item;
 mod limits;
-mod order;
+pub(crate) mod order;
 
 pub use action::Action;
 pub use action::Refusal;
--- a/crates/routing/src/admission/order.rs
+++ b/crates/routing/src/admission/order.rs
@@ -8,7 +8,7 @@
 
 /// Divisor of the slack of a request that gives its wait until it becomes aged. The slack is the
 /// time for which the request may wait and still finish before its deadline.
-const AGED_SLACK_DIVISOR: u32 = 4;
+pub(crate) const AGED_SLACK_DIVISOR: u32 = 4;
 
 /// A queued request.
 #[derive(Debug, Clone, Copy)]
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod pace;
 pub mod policy;
 pub mod prefix;
+pub mod queue;
 pub mod request;
 pub mod router;
 pub mod subset;
