gateway: large prompts wait in the admission queue instead of being polled

Cause: http::place polled each declined prompt every 100 ms by itself, and a Retry-After was a guess that reserved nothing. Change: prompts beyond one engine's memory take a ticket of routing::queue. They are woken when a request ends, a server joins or a peer shows room. The cost bound rises while a prompt waits, and does not bind for one that was promised to be served. A failed reservation goes back to the queue. Reports carry the queue (tag 17) and client accounts (tag 18). Metrics and log lines. Conclusion: other requests are placed as before.

--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -18,15 +18,15 @@
 use crate::load::report_interval;
 use crate::placement;
 use crate::placement::Candidate;
+use crate::placement::CostBound;
 use crate::placement::Declined;
 use crate::placement::Placement;
 use crate::placement::Reason;
 use crate::placement::first_urgency;
-use crate::placement::fits_jointly;
 use crate::placement::is_long;
 use crate::placement::needs_joint;
 use crate::placement::place_plain;
-use crate::placement::place_prompt;
+use crate::placement::place_within;
 use crate::placement::request_value;
 use crate::reservation::Reservations;
 
@@ -79,17 +79,18 @@
     pub fn place(&self, request: &Request, tried: &[runner::Id]) -> Result<Placement, Declined> {
         let now = self.now();
         let candidates = self.candidates(request, tried, now);
-        let placement = self.choose(request, &candidates, now)?;
+        let placement = self.choose(request, &candidates, now, CostBound::USUAL)?;
         self.count_against_limits(&placement);
         Ok(placement)
     }
 
     /// Chooses the servers for a request among the candidates.
-    fn choose(
+    pub(super) fn choose(
         &self,
         request: &Request,
         candidates: &[Candidate],
         now: Moment,
+        bound: CostBound,
     ) -> Result<Placement, Declined> {
         match (&request.service.engine, &request.metadata.prompt) {
             (Some(profile), Some(prompt)) => {
@@ -102,26 +103,18 @@
                     target_gap: request.route.target_gap,
                     profile,
                 };
-                place_prompt(
+                place_within(
                     &prompt_request,
                     candidates,
                     &demand,
                     self.unreported_short_prompts(&demand),
+                    bound,
                 )
             }
             _ => place_plain(candidates, rand::random()),
         }
     }
 
-    /// Returns whether a request that does not fit now may fit once other requests have ended.
-    pub fn may_fit_later(&self, request: &Request) -> bool {
-        let servers = self.fleet.borrow().usable(&request.service.name).len();
-        match (&request.service.engine, &request.metadata.prompt) {
-            (Some(profile), Some(prompt)) => fits_jointly(prompt, profile, servers),
-            _ => false,
-        }
-    }
-
     /// Returns the retry delay for a request that the servers have no memory for.
     pub fn memory_retry_delay(&self, request: &Request) -> Duration {
         let candidates = self.candidates(request, &[], self.now());
--- a/crates/gateway/src/gateway/shutdown.rs
+++ b/crates/gateway/src/gateway/shutdown.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use log::info;
+use tokio::sync::watch;
 
 use crate::Gateway;
 use crate::stop::Phase;
@@ -51,6 +52,11 @@
         tokio::time::sleep(crate::stop::POLL_INTERVAL).await;
     }
 
+    /// Returns a receiver that shows changes of the phase.
+    pub fn subscribe_phase(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
     /// Waits for [`Phase::Finishing`] or [`Phase::Over`], in which idle connections are closed.
     pub async fn wait_until_finishing(&self) {
         let mut phase = self.phase.subscribe();
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -36,6 +36,7 @@
 use crate::observe::State;
 use crate::peer;
 use crate::peer::Document;
+use crate::queue;
 use crate::rate_limit;
 use crate::settings::Settings;
 use crate::stop::Phase;
@@ -81,6 +82,7 @@
     /// Number of callers' open connections on which a request has arrived.
     pub(crate) active_connections: Cell<usize>,
     report_requested: Notify,
+    pub(super) queue: queue::Shared,
     pub(super) pool: Pool,
     /// Memory for the bodies of responses that are being read.
     response_memory: ResponseMemory,
@@ -124,6 +126,7 @@
             fetching: Cell::new(false),
             active_connections: Cell::new(0),
             report_requested: Notify::new(),
+            queue: queue::Shared::default(),
             pool: Pool::default(),
             response_memory: ResponseMemory::default(),
             metrics: Metrics::default(),
@@ -296,6 +299,7 @@
         self.last_heard.borrow_mut().retain(|id, _| known(id));
         self.suspects.borrow_mut().expire(now);
         self.update_rate_shares();
+        self.expire_queue(now);
     }
 
     /// Returns the metrics in the text format.
@@ -306,6 +310,7 @@
             servers: self.fleet.borrow().len(),
             peers: self.peers_alive(),
             in_flight: self.ledger.borrow().len(),
+            waiting: self.queue.queue().borrow().len(),
             rate_limited: self.rate_limits.borrow().limited(),
             role: self.role.get(),
             ages: freshness::Kind::iter().filter_map(|kind| Some((kind, age(kind)?))).collect(),
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -96,6 +96,7 @@
                     self.rate_limits.borrow_mut().restart(id, start_key, now);
                 }
                 self.pool.close_server(id);
+                self.wake_queue();
             }
             Change::Draining | Change::Gone | Change::Lapsed => {}
         }
--- a/crates/gateway/src/http/place.rs
+++ b/crates/gateway/src/http/place.rs
@@ -7,6 +7,8 @@
 use kumquattiller_base::attempt::Unsent;
 use kumquattiller_base::error::Kind;
 use kumquattiller_base::runner;
+use kumquattiller_routing::queue::Reason;
+use kumquattiller_routing::queue::Turn;
 use log::info;
 
 use crate::Gateway;
@@ -14,44 +16,111 @@
 use crate::http::Request;
 use crate::placement::Declined;
 use crate::placement::Placement;
+use crate::queue::Ticket;
+use crate::stop::Phase;
 
-/// Fraction of its target latency for which a request waits for free memory on the servers.
-const MEMORY_WAIT_FRACTION: f64 = 0.35;
-/// Interval at which a waiting request is placed again.
-const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Retry delay for callers when no server accepts the request.
 const NO_SERVER_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// A request that could not be placed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Unplaced {
+    /// Why the servers were not chosen when it was last tried.
+    pub declined: Declined,
+    /// Why the queue refuses it, if it was in the queue.
+    reason: Option<Reason>,
+    /// When it is to return, as far as the queue knows.
+    retry_after: Option<Duration>,
+}
+
+impl From<Declined> for Unplaced {
+    fn from(declined: Declined) -> Self {
+        Self { declined, reason: None, retry_after: None }
+    }
+}
+
 /// Places a request. If the servers have no memory for it, or if it would cost other requests too
-/// much, waits up to a fraction of its target latency: prompts of that size are few and memory is
-/// freed soon.
+/// much, it waits in the queue for its turn. `ticket` is its place there, which it keeps until it
+/// has been sent.
 ///
 /// # Errors
 ///
-/// Fails if the request cannot be placed within that time.
+/// Fails if the request cannot be placed while it may wait.
 pub async fn place(
     gateway: &Rc<Gateway>,
     request: &Rc<Request>,
     tried: &[runner::Id],
-) -> Result<Placement, Declined> {
-    let deadline = request.arrived + request.route.target_latency.mul_f64(MEMORY_WAIT_FRACTION);
+    ticket: &mut Option<Ticket>,
+) -> Result<Placement, Unplaced> {
+    if ticket.is_none() {
+        let entry = gateway.queue_entry(request);
+        *ticket = entry.map(|entry| Ticket::new(gateway, &request.metadata.id, entry));
+    }
+    let Some(mut waiting) = ticket.take() else {
+        return gateway.place(request, tried).map_err(Into::into);
+    };
+    let mut phase = gateway.subscribe_phase();
+    let mut declined = Declined::NoMemory;
     loop {
-        let placement = gateway.place(request, tried);
-        let full = matches!(placement, Err(Declined::NoMemory | Declined::TooCostly { .. }));
-        if !full || !gateway.may_fit_later(request) || gateway.now() >= deadline {
-            return placement;
+        let changed = gateway.queue().changed();
+        match waiting.turn() {
+            Turn::Try { patience, reserve } => {
+                match gateway.place_from_queue(request, tried, patience, reserve) {
+                    Ok(placement) => {
+                        *ticket = Some(waiting);
+                        return Ok(placement);
+                    }
+                    Err(reason) => declined = reason,
+                }
+                if gateway.phase() != Phase::Serving {
+                    return Err(refuse_waiting(
+                        gateway,
+                        request,
+                        waiting,
+                        Reason::Stopping,
+                        declined,
+                    ));
+                }
+                waiting.declined(declined, gateway.room_in(request));
+            }
+            Turn::Wait { until } => {
+                tokio::select! {
+                    () = changed => {}
+                    () = tokio::time::sleep_until(gateway.instant(until)) => {}
+                    _ = phase.changed() => {
+                        return Err(refuse_waiting(
+                            gateway, request, waiting, Reason::Stopping, declined,
+                        ));
+                    }
+                }
+            }
+            Turn::Refuse(reason) => {
+                return Err(refuse_waiting(gateway, request, waiting, reason, declined));
+            }
         }
-        tokio::time::sleep(MEMORY_POLL_INTERVAL).await;
     }
 }
 
+/// Refuses a request of the queue.
+fn refuse_waiting(
+    gateway: &Gateway,
+    request: &Request,
+    ticket: Ticket,
+    reason: Reason,
+    declined: Declined,
+) -> Unplaced {
+    let refusal = ticket.refuse(reason, gateway.memory_retry_delay(request));
+    Unplaced { declined, reason: Some(reason), retry_after: refusal.map(|r| r.retry_after) }
+}
+
 /// Returns the refusal of a request that could not be placed, and logs the reason.
 pub fn decline(
     gateway: &Gateway,
     request: &Request,
     attempt: Attempt<Unsent>,
-    declined: Declined,
+    unplaced: Unplaced,
 ) -> Refusal {
+    let declined = unplaced.declined;
     let (others, gain) = match declined {
         Declined::TooCostly { others, gain } => (others, gain),
         Declined::NoServer | Declined::NoMemory => (0.0, 0.0),
@@ -69,7 +138,15 @@
             refuse_with_delay(attempt, Kind::NoRunner, delay)
         }
         Declined::NoMemory | Declined::TooCostly { .. } => {
-            refuse_with_delay(attempt, Kind::MemoryFull, gateway.memory_retry_delay(request))
+            let kind = match unplaced.reason {
+                Some(Reason::Stopping) => Kind::Stopping,
+                _ => Kind::MemoryFull,
+            };
+            let usual = || match kind {
+                Kind::Stopping => gateway.stop_retry_delay(),
+                _ => gateway.memory_retry_delay(request),
+            };
+            refuse_with_delay(attempt, kind, unplaced.retry_after.unwrap_or_else(usual))
         }
     }
 }
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -94,20 +94,28 @@
     let mut attempts = 0;
     let mut connect_failures = 0;
     let mut tried = Vec::new();
+    let mut ticket = None;
     loop {
         if gateway.is_suspect(request) {
             return Err(Refusal::may_have_run(Kind::CrashesBackends));
         }
-        let placement = match place(gateway, request, &tried).await {
+        let placement = match place(gateway, request, &tried, &mut ticket).await {
             Ok(placement) => placement,
             Err(declined) => return Err(decline(gateway, request, attempt, declined)),
         };
         let Ok(reservations) = Reservations::make(gateway, &request.metadata.id, &placement).await
         else {
-            return Err(decline(gateway, request, attempt, Declined::NoMemory));
+            let Some(waiting) = &mut ticket else {
+                return Err(decline(gateway, request, attempt, Declined::NoMemory.into()));
+            };
+            waiting.declined(Declined::NoMemory, gateway.room_in(request));
+            continue;
         };
         tried.push(placement.server.clone());
         let dispatch = Dispatch::start(gateway, request, &placement, reservations);
+        if let Some(waiting) = ticket.take() {
+            waiting.admitted();
+        }
         let sent = attempt.send();
         match attempt_server(gateway, request, dispatch, &tried, attempts).await {
             AttemptResult::Final(response) => return Ok(response),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,7 +12,7 @@
 //!   [`health`] (failing servers), [`backoff`] (pauses that servers ask for), [`rate_limit`] (rates that they state), [`suspect`] (requests that crash servers), [`events`] (splitting
 //!   streams into events), [`stop`] (phases of a graceful stop), [`pause`] (times in which the
 //!   process did not run);
-//! - I/O: [`http`] (the listener, connections to servers, handling of a request), [`relay`]
+//! - I/O: [`queue`] (prompts that wait for room), [`http`] (the listener, connections to servers, handling of a request), [`relay`]
 //!   (streams), [`reservation`] (server memory reserved for large prompts), [`peer`] (reports
 //!   between daemons), [`observe`] (logs and metrics).
 //!
@@ -40,6 +40,7 @@
 pub mod pause;
 pub mod peer;
 pub mod placement;
+pub mod queue;
 pub mod rate_limit;
 pub mod relay;
 pub mod reservation;
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -15,6 +15,7 @@
 use crate::freshness::Role;
 use crate::health::Outcome;
 use crate::observe::StoreCall;
+use crate::observe::queue::Queue;
 
 /// Prefix of the name of each metric family.
 const PREFIX: &str = "kumquattiller_gateway";
@@ -27,7 +28,7 @@
 type CallLabels = [(&'static str, String); 3];
 
 /// A label and its value.
-type Label = [(&'static str, String); 1];
+pub(super) type Label = [(&'static str, String); 1];
 
 /// The metric families of a gateway.
 #[derive(Debug)]
@@ -51,12 +52,14 @@
     servers: Gauge,
     peers: Gauge,
     in_flight: Gauge,
+    /// Those of the admission queue.
+    pub queue: Queue,
     store_calls: Family<CallLabels, Counter>,
     store_watcher: Gauge,
     ages: Family<Label, Gauge<f64, AtomicU64>>,
 }
 
-fn latency_histogram() -> Histogram {
+pub(super) fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(MIN_LATENCY_BUCKET_S, 2.0, LATENCY_BUCKETS))
 }
 
@@ -82,6 +85,7 @@
             servers: Gauge::default(),
             peers: Gauge::default(),
             in_flight: Gauge::default(),
+            queue: Queue::default(),
             store_calls: Family::default(),
             store_watcher: Gauge::default(),
             ages: Family::default(),
@@ -147,6 +151,7 @@
         registry.register("servers", "Backend servers known", self.servers.clone());
         registry.register("peers", "Other daemons alive", self.peers.clone());
         registry.register("in_flight", "Requests at servers", self.in_flight.clone());
+        self.queue.register(registry);
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         registry.register(
             "store_watcher",
@@ -243,6 +248,7 @@
         self.servers.set(state.servers as i64);
         self.peers.set(state.peers as i64);
         self.in_flight.set(state.in_flight as i64);
+        self.queue.set_length(state.waiting);
         self.rate_limited.set(state.rate_limited as i64);
         self.store_watcher.set(i64::from(state.role == Some(Role::Watcher)));
         for (kind, age) in state.ages {
@@ -268,6 +274,8 @@
     pub peers: usize,
     /// Requests at servers.
     pub in_flight: usize,
+    /// Requests that wait to be placed.
+    pub waiting: usize,
     /// Servers that state a rate limit.
     pub rate_limited: usize,
     /// How the daemon learns of changes in the store, if that is known yet.
--- a/crates/gateway/src/observe/mod.rs
+++ b/crates/gateway/src/observe/mod.rs
@@ -2,6 +2,7 @@
 
 mod log;
 mod metrics;
+mod queue;
 mod store_call;
 
 pub use log::init;
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -16,11 +16,13 @@
 use crate::load::server_key;
 use crate::pause;
 use crate::peer::Load;
+use crate::peer::Queue;
 use crate::peer::RateLimit;
 use crate::peer::Recipients;
 use crate::peer::Report;
 use crate::peer::Serial;
 use crate::peer::fetch;
+use crate::queue::InFlight;
 use crate::rate_limit;
 use crate::stop::Phase;
 use crate::suspect;
@@ -124,6 +126,7 @@
     let loads = ledger.report().map(|(server, reported)| Load::of(server, &reported)).collect();
     let suspects = gateway.suspects().borrow().reports(MAX_SUSPECTS, now);
     let demand = ledger.local_demand(now);
+    let queue = gateway.queue().queue().borrow().report(now);
     Report {
         demand_long_ms: demand.long_ms_per_s as f32,
         demand_short: demand.short_per_s as f32,
@@ -140,6 +143,8 @@
         forward: false,
         origin: None,
         rate_limits: rate_limits(gateway, now),
+        queue: Queue::of(&queue, now),
+        accounts: queue.usages.iter().map(Into::into).collect(),
     }
 }
 
@@ -204,6 +209,7 @@
         );
     }
     gateway.mark_reported_unusable_helpers(&report.unusable_helpers);
+    apply_queue(gateway, id, report, now);
     apply_rate_limits(gateway, id, &report.rate_limits);
     for confirmation in &report.confirmations {
         match confirmation.kind().try_into() {
@@ -220,6 +226,15 @@
     }
 }
 
+fn apply_queue(gateway: &Gateway, peer: &daemon::Id, report: &Report, now: Moment) {
+    let queue = report.queue.clone().unwrap_or_default().report(&report.accounts, now);
+    let in_flight = InFlight {
+        memory: report.loads.iter().map(|load| load.memory).fold(0, u64::saturating_add),
+        backlog_ms: report.loads.iter().map(|load| f64::from(load.backlog_ms)).sum(),
+    };
+    gateway.queue().merge(peer, queue, in_flight, now);
+}
+
 fn apply_rate_limits(gateway: &Gateway, peer: &daemon::Id, limits: &[RateLimit]) {
     let mut reports = Vec::new();
     for limit in limits {
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -5,6 +5,8 @@
 use crate::fleet;
 use crate::freshness;
 use crate::load;
+use crate::peer::Consumption;
+use crate::peer::Queue;
 use crate::peer::RateLimit;
 use crate::suspect;
 use crate::suspect::Crash;
@@ -171,6 +173,12 @@
     /// Rate limits of servers that it knows.
     #[prost(message, repeated, tag = "15")]
     pub rate_limits: Vec<RateLimit>,
+    /// Its admission queue, if anything waits or is promised.
+    #[prost(message, optional, tag = "17")]
+    pub queue: Option<Queue>,
+    /// What the largest client accounts asked for and got there.
+    #[prost(message, repeated, tag = "18")]
+    pub accounts: Vec<Consumption>,
 }
 
 /// The state that a daemon sends to a peer that cannot get it from the store.
--- a/crates/gateway/src/placement/joint.rs
+++ b/crates/gateway/src/placement/joint.rs
@@ -6,6 +6,7 @@
 use crate::engine::Profile;
 use crate::load::Demand;
 use crate::placement::Candidate;
+use crate::placement::CostBound;
 use crate::placement::Declined;
 use crate::placement::Division;
 use crate::placement::Placement;
@@ -19,9 +20,6 @@
 /// with which memory use is reported.
 const FREE_FRACTION: f64 = 0.85;
 
-/// Largest cost to other requests, as a fraction of the prompt's own gain. It is below 1 because
-/// the estimate does not cover all later requests that find the servers busy with this prompt.
-const MAX_COST_FRACTION: f64 = 0.85;
 /// Value of one second of prefill for long prompts.
 const VALUE_PER_PREFILL_S: f64 = 6.5;
 /// Fraction of its value that a prompt loses when its servers are busy on its arrival.
@@ -40,6 +38,7 @@
     request: &Request<'_>,
     division: &Division<'_>,
     demand: &Demand,
+    bound: CostBound,
 ) -> Result<Placement, Declined> {
     let mut ranked: Vec<&Candidate> =
         division.long.iter().chain(&division.short).copied().collect();
@@ -54,8 +53,9 @@
     });
     let cheapest = options.min_by(|a, b| a.1.sum().total_cmp(&b.1.sum()));
     let (participants, Cost { own, others }) = cheapest.ok_or(Declined::NoMemory)?;
-    let gain = utility::request_value(request.prompt.tokens) - own;
-    if others > gain * MAX_COST_FRACTION {
+    let value = utility::request_value(request.prompt.tokens);
+    let gain = value - own;
+    if !bound.allows(others, gain, value) {
         return Err(Declined::TooCostly { others, gain });
     }
     let part_ms = request.prefill_ms() / participants.len() as f64;
@@ -76,6 +76,18 @@
     memory <= profile.memory.get() as f64 * FREE_FRACTION * max_parts
 }
 
+/// Returns whether the free memory of all servers together holds so many tokens.
+pub fn has_free_memory(candidates: &[Candidate], profile: &Profile, tokens: Tokens) -> bool {
+    let free = |c: &Candidate| profile.memory.get().saturating_sub(c.load.memory) as f64;
+    let sum: f64 = candidates.iter().map(free).sum();
+    sum * FREE_FRACTION >= tokens.get() as f64
+}
+
+/// Returns how many servers may take part in the prefill of a prompt.
+pub fn max_participants(servers: usize) -> usize {
+    servers.clamp(1, MAX_HELPERS + 1)
+}
+
 /// Returns how many tokens of the request a server can hold.
 fn free_tokens(request: &Request<'_>, candidate: &Candidate) -> u64 {
     let free = request.profile.memory.get().saturating_sub(candidate.load.memory);
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -5,6 +5,7 @@
 //! placement with the lowest expected loss. The prefill of a long prompt may be split between a
 //! server and helpers; a prompt that exceeds the memory of one engine is held by several servers.
 
+mod bound;
 mod candidate;
 mod division;
 mod joint;
@@ -13,9 +14,12 @@
 mod prompt;
 mod utility;
 
+pub use bound::CostBound;
 pub use candidate::Candidate;
 pub use division::Division;
 pub use joint::fits_jointly;
+pub use joint::has_free_memory;
+pub use joint::max_participants;
 pub use plain::place_plain;
 pub use plan::Declined;
 pub use plan::Placement;
@@ -24,5 +28,6 @@
 pub use prompt::is_long;
 pub use prompt::needs_joint;
 pub use prompt::place_prompt;
+pub use prompt::place_within;
 pub use utility::first_urgency;
 pub use utility::request_value;
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -6,6 +6,7 @@
 use crate::engine::Profile;
 use crate::load::Demand;
 use crate::placement::Candidate;
+use crate::placement::CostBound;
 use crate::placement::Declined;
 use crate::placement::Division;
 use crate::placement::Placement;
@@ -87,10 +88,26 @@
     candidates: &[Candidate],
     demand: &Demand,
     unreported: f64,
+) -> Result<Placement, Declined> {
+    place_within(request, candidates, demand, unreported, CostBound::USUAL)
+}
+
+/// Chooses the servers like [`place_prompt`]. `bound` limits what a prompt that exceeds the memory
+/// of one engine may cost other requests.
+///
+/// # Errors
+///
+/// Returns an error like [`place_prompt`].
+pub fn place_within(
+    request: &Request<'_>,
+    candidates: &[Candidate],
+    demand: &Demand,
+    unreported: f64,
+    bound: CostBound,
 ) -> Result<Placement, Declined> {
     let division = Division::of(candidates, demand);
     if needs_joint(request.prompt, request.profile) {
-        return place_joint(request, &division, demand);
+        return place_joint(request, &division, demand, bound);
     }
     let placement = if is_long(request.prompt, request.profile) {
         place_long(request, &division, demand)
--- a/crates/gateway/src/placement/utility.rs
+++ b/crates/gateway/src/placement/utility.rs
@@ -9,7 +9,7 @@
 /// Prompt tokens that add as much value as the base value of a request.
 const TOKENS_PER_VALUE: f64 = 10_000.0;
 /// Fraction of its value that a response loses if it is late.
-const LATE_LOSS: f64 = 0.75;
+pub const LATE_LOSS: f64 = 0.75;
 /// Fraction of a limit up to which an expected time counts as certainly on time.
 const ON_TIME_FRACTION: f64 = 0.75;
 /// The same fraction for the target latency of a first event, which is harder to predict.
--- a/crates/gateway/src/relay/dispatch.rs
+++ b/crates/gateway/src/relay/dispatch.rs
@@ -89,6 +89,7 @@
             ledger.mark_late(self.key);
         }
         drop(ledger);
+        self.gateway.wake_queue();
         self.gateway.record_activity(&self.placement.server);
     }
 
@@ -153,5 +154,6 @@
 impl Drop for Dispatch {
     fn drop(&mut self) {
         self.gateway.ledger().borrow_mut().end(self.key);
+        self.gateway.wake_queue();
     }
 }
--- a/crates/routing/src/queue/peers.rs
+++ b/crates/routing/src/queue/peers.rs
@@ -76,6 +76,11 @@
         self.returned.retain(|_, at| now.since(*at) <= IDENTITY_RETENTION);
     }
 
+    /// Returns the age of the oldest report.
+    pub fn oldest_age(&self, now: Moment) -> Duration {
+        self.peers.values().map(|p| now.since(p.at)).max().unwrap_or_default()
+    }
+
     /// Returns the waiting requests of the other daemons.
     pub fn waiting(&self) -> impl Iterator<Item = &Place> {
         self.peers.values().flat_map(|p| &p.report.waiting)
--- a/crates/routing/src/queue/state.rs
+++ b/crates/routing/src/queue/state.rs
@@ -264,6 +264,11 @@
         self.waiting.get(&key).map_or(Duration::ZERO, |w| now.since(w.since))
     }
 
+    /// Returns the age of the oldest report of another daemon that counts.
+    pub fn report_age(&self, now: Moment) -> Duration {
+        self.peers.oldest_age(now)
+    }
+
     /// Returns whether a request was promised to be served.
     pub fn is_promised(&self, key: Key) -> bool {
         self.waiting.get(&key).is_some_and(|w| w.promised)
