--- a/crates/gateway/src/gateway/candidates.rs
+++ b/crates/gateway/src/gateway/candidates.rs
@@ -45,6 +45,13 @@
         usable.into_iter().map(describe).collect()
     }
 
+    /// Returns how many servers serve requests like this one, whether or not they may get it now.
+    pub(super) fn serving_count(&self, request: &Request) -> usize {
+        let fleet = self.fleet.borrow();
+        let serves = |s: &&Server| !self.is_evacuated(s) && self.is_in_region(request, s);
+        fleet.usable(&request.service.name).into_iter().filter(serves).count()
+    }
+
     /// Returns why nothing may be sent to a server now, also if it was chosen before; `None` if it
     /// may get requests.
     pub fn withheld(&self, server: &Server) -> Option<Exclusion> {
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod copies;
 mod evacuations;
+mod queue;
 mod rate_limits;
 mod regions;
 mod requests;
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -18,15 +18,15 @@
 use crate::load::report_interval;
 use crate::placement;
 use crate::placement::Candidate;
+use crate::placement::CostBound;
 use crate::placement::Declined;
 use crate::placement::Placement;
 use crate::placement::Reason;
 use crate::placement::first_urgency;
-use crate::placement::fits_jointly;
 use crate::placement::is_long;
 use crate::placement::needs_joint;
 use crate::placement::place_plain;
-use crate::placement::place_prompt;
+use crate::placement::place_within;
 use crate::placement::request_value;
 use crate::reservation::Reservations;
 
@@ -82,17 +82,18 @@
         if candidates.is_empty() && self.is_all_evacuated(request) {
             return Err(Declined::Evacuated);
         }
-        let placement = self.choose(request, &candidates, now)?;
+        let placement = self.choose(request, &candidates, now, CostBound::USUAL)?;
         self.count_against_limits(&placement);
         Ok(placement)
     }
 
     /// Chooses the servers for a request among the candidates.
-    fn choose(
+    pub(super) fn choose(
         &self,
         request: &Request,
         candidates: &[Candidate],
         now: Moment,
+        bound: CostBound,
     ) -> Result<Placement, Declined> {
         match (&request.service.engine, &request.metadata.prompt) {
             (Some(profile), Some(prompt)) => {
@@ -105,29 +106,18 @@
                     target_gap: request.route.target_gap,
                     profile,
                 };
-                place_prompt(
+                place_within(
                     &prompt_request,
                     candidates,
                     &demand,
                     self.unreported_short_prompts(&demand),
+                    bound,
                 )
             }
             _ => place_plain(candidates, rand::random()),
         }
     }
 
-    /// Returns whether a request that does not fit now may fit once other requests have ended.
-    pub fn may_fit_later(&self, request: &Request) -> bool {
-        let fleet = self.fleet.borrow();
-        let usable = fleet.usable(&request.service.name);
-        let may_serve = |s: &&Server| !self.is_evacuated(s) && self.is_in_region(request, s);
-        let servers = usable.into_iter().filter(may_serve).count();
-        match (&request.service.engine, &request.metadata.prompt) {
-            (Some(profile), Some(prompt)) => fits_jointly(prompt, profile, servers),
-            _ => false,
-        }
-    }
-
     /// Returns the retry delay for a request that the servers have no memory for.
     pub fn memory_retry_delay(&self, request: &Request) -> Duration {
         let candidates = self.candidates(request, &[], self.now());
--- a/crates/gateway/src/gateway/shutdown.rs
+++ b/crates/gateway/src/gateway/shutdown.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use log::info;
+use tokio::sync::watch;
 
 use crate::Gateway;
 use crate::stop::LAST_POLL_INTERVAL;
@@ -77,6 +78,11 @@
         }
     }
 
+    /// Returns a receiver that shows changes of the phase.
+    pub fn subscribe_phase(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
     /// Waits for [`Phase::Finishing`] or [`Phase::Over`], in which idle connections are closed.
     pub async fn wait_until_finishing(&self) {
         self.wait_for_phase(|phase| matches!(phase, Phase::Finishing | Phase::Over)).await;
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -40,6 +40,7 @@
 use crate::peer;
 use crate::peer::Document;
 use crate::placement::RAMP_TIME;
+use crate::queue;
 use crate::rate_limit;
 use crate::settings::Settings;
 use crate::stop::Phase;
@@ -94,6 +95,7 @@
     /// Number of callers' open connections on which a request has arrived.
     pub(crate) active_connections: Cell<usize>,
     report_requested: Notify,
+    pub(super) queue: queue::Shared,
     pub(super) pool: Pool,
     /// Memory for the bodies of responses that are being read.
     response_memory: ResponseMemory,
@@ -146,6 +148,7 @@
             fetching: Cell::new(false),
             active_connections: Cell::new(0),
             report_requested: Notify::new(),
+            queue: queue::Shared::default(),
             pool: Pool::default(),
             response_memory: ResponseMemory::default(),
             metrics: Metrics::default(),
@@ -323,6 +326,7 @@
         drop(fleet);
         self.update_rate_shares();
         self.update_cold_shares();
+        self.expire_queue(now);
     }
 
     /// Returns the metrics in the text format.
@@ -334,6 +338,7 @@
             peers: self.peers_alive(),
             in_flight: self.ledger.borrow().len(),
             evacuated_zones: self.evacuations.borrow().zones().len(),
+            waiting: self.queue.queue().borrow().len(),
             rate_limited: self.rate_limits.borrow().limited(),
             cold: self.rate_limits.borrow().cold(self.now()),
             role: self.role.get(),
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -23,6 +23,7 @@
 use crate::http::admission;
 use crate::http::body;
 use crate::http::classify;
+use crate::http::place::Unplaced;
 use crate::http::place::decline;
 use crate::http::place::place;
 use crate::http::place::refuse;
@@ -31,6 +32,7 @@
 use crate::http::send;
 use crate::placement::Declined;
 use crate::placement::Placement;
+use crate::queue::Ticket;
 use crate::relay;
 use crate::relay::Dispatch;
 use crate::relay::History;
@@ -99,18 +101,22 @@
     let mut attempts = 0;
     let mut connect_failures = 0;
     let mut tried = Vec::new();
+    let mut ticket = None;
     loop {
         if gateway.is_suspect(request) {
             return Err(Refusal::may_have_run(Kind::CrashesBackends));
         }
-        let (placement, reservations) =
-            match gateway.before_exit(reserve_place(gateway, request, &tried)).await {
-                Some(Ok(placed)) if gateway.phase() != Phase::Over => placed,
-                Some(Err(declined)) => return Err(decline(gateway, request, attempt, declined)),
-                Some(Ok(_)) | None => return Err(refuse_stopping(gateway, attempt)),
-            };
+        let placing = reserve_place(gateway, request, &tried, &mut ticket);
+        let (placement, reservations) = match gateway.before_exit(placing).await {
+            Some(Ok(placed)) if gateway.phase() != Phase::Over => placed,
+            Some(Err(unplaced)) => return Err(decline(gateway, request, attempt, unplaced)),
+            Some(Ok(_)) | None => return Err(refuse_stopping(gateway, attempt)),
+        };
         tried.push(placement.server.clone());
         let dispatch = Dispatch::start(gateway, request, &placement, reservations);
+        if let Some(waiting) = ticket.take() {
+            waiting.admitted();
+        }
         let sent = attempt.send();
         let attempting = attempt_server(gateway, request, dispatch, &tried, attempts);
         match gateway.before_exit(attempting).await.unwrap_or(AttemptResult::DeadlineExceeded) {
@@ -145,15 +151,24 @@
     }
 }
 
-/// Places a request and reserves the memory that its placement needs.
+/// Places a request and reserves the memory that its placement needs. A request of the queue whose
+/// memory could not be reserved waits again.
 async fn reserve_place(
     gateway: &Rc<Gateway>,
     request: &Rc<Request>,
     tried: &[runner::Id],
-) -> Result<(Placement, Option<Reservations>), Declined> {
-    let placement = place(gateway, request, tried).await?;
-    let made = Reservations::make(gateway, request, &placement).await;
-    Ok((placement, made.map_err(|_| Declined::NoMemory)?))
+    ticket: &mut Option<Ticket>,
+) -> Result<(Placement, Option<Reservations>), Unplaced> {
+    loop {
+        let placement = place(gateway, request, tried, ticket).await?;
+        if let Ok(reservations) = Reservations::make(gateway, request, &placement).await {
+            return Ok((placement, reservations));
+        }
+        let Some(waiting) = ticket else {
+            return Err(Declined::NoMemory.into());
+        };
+        waiting.declined(Declined::NoMemory, gateway.room_in(request));
+    }
 }
 
 /// Sends a request to the server of `dispatch`. `attempts` is the number of earlier attempts.
