gateway: long prompts keep away from streams; lending goes by rank

Cause: a part of a long prompt that just does not make the streams of a server late costs nothing there, so it was as welcome as on a server without streams; a part of another daemon in the same pass then makes them late. Short prompts were lent any free server, and long prompts took any: they met.

Change: stream_loss counts another, unseen part with a chance of 0.1. Servers of the long division are lent from the highest rank down, at the full price as far as the long demand may need them, and long prompts prefer low ranks.

--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -19,7 +19,7 @@
 /// Maximum number of helpers for one prompt.
 pub const MAX_HELPERS: usize = 16;
 /// Prefill time that does not make interactive streams late, in milliseconds.
-const HARMLESS_PREFILL_MS: f64 = 110.0;
+pub const HARMLESS_PREFILL_MS: f64 = 110.0;
 /// Cost of one second of waiting, in units of request value.
 const WAIT_COST_PER_S: f64 = 0.3;
 /// Cost of each request in flight at a server, in units of request value.
@@ -33,10 +33,13 @@
 /// Expected loss per short prompt that arrives during a long prefill: the fraction of such prompts
 /// that become late.
 const DISPLACED_LOSS: f64 = 0.3;
-/// Free servers of the long division for each one that the average demand occupies, from which they
-/// are not lent for less than [`WRONG_DIVISION_COST`]: long prompts arrive in bursts, and each takes
-/// several servers.
-const LONG_HEADROOM: f64 = 3.0;
+/// Servers of the long division kept for each one that its average demand occupies: long prompts
+/// arrive in bursts, and each takes several servers. The others are lent for less than
+/// [`WRONG_DIVISION_COST`], the last by rank first.
+const LONG_HEADROOM: f64 = 8.0;
+/// Cost of a part of a long prompt on the last server of the long division by rank, in units of
+/// request value. It keeps those servers free that are lent first.
+const RANK_COST: f64 = 0.1;
 /// Factor for the delay that two short prompts at one server cause: each delays the other.
 const MUTUAL_DELAY: f64 = 2.0;
 /// Number of servers of a division that are considered for a long prompt: several times the most
@@ -157,9 +160,9 @@
             + utility::stream_loss(request.profile, c, prefill_ms)
             + utility::waiting_loss(c, prefill_ms)
     };
-    let price = lending_price(division, demand);
     let short = division.short.iter().map(|c| (*c, cost(c)));
-    let long = division.long.iter().map(|c| (*c, cost(c) + price));
+    let long = division.long.iter().enumerate();
+    let long = long.map(|(n, c)| (*c, cost(c) + lending_price(n, demand)));
     let mut costs: Vec<(&Candidate, f64)> = short.chain(long).collect();
     costs.sort_by(|a, b| a.1.total_cmp(&b.1));
     let urgency = utility::first_urgency(request.prompt.tokens, request.target_latency);
@@ -175,13 +178,11 @@
     })
 }
 
-/// Returns the cost of placing a short prompt on a server for long prompts, in units of request
-/// value. It follows the demand for long prompts: a server that they hardly need is lent for little.
-fn lending_price(division: &Division<'_>, demand: &Demand) -> f64 {
-    let idle = |c: &&&Candidate| c.load.interactive == 0 && c.load.unanswered_ms <= 0.0;
-    let free = division.long.iter().filter(idle).count().max(1) as f64;
+/// Returns the cost of placing a short prompt on the server of the long division that follows
+/// `before` others by rank, in units of request value. It follows the demand for long prompts.
+fn lending_price(before: usize, demand: &Demand) -> f64 {
     let needed = demand.long_ms_per_s / 1e3 * LONG_HEADROOM;
-    WRONG_DIVISION_COST * (needed / free).powi(2).min(1.0)
+    WRONG_DIVISION_COST * (needed / (before + 1) as f64).min(1.0)
 }
 
 /// Chooses among servers in ascending order of cost. It is assumed that the unreported prompts fill
@@ -232,8 +233,8 @@
     options.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(placement, _)| placement)
 }
 
-/// Returns the servers that are considered for a part of a prompt: all of a small division, the
-/// cheapest ones of a large one.
+/// Returns the servers that are considered for a part of a prompt, by ascending rank: all of a small
+/// division, the cheapest ones of a large one.
 fn cheapest<'a>(
     request: &Request<'_>,
     servers: &[&'a Candidate],
@@ -245,7 +246,9 @@
     let mut costs: Vec<(&Candidate, f64)> =
         servers.iter().map(|c| (*c, participant_cost(request, c, part_ms) + jitter())).collect();
     costs.select_nth_unstable_by(MAX_CONSIDERED, |a, b| a.1.total_cmp(&b.1));
-    costs[..MAX_CONSIDERED].iter().map(|(c, _)| *c).collect()
+    let mut considered: Vec<&Candidate> = costs[..MAX_CONSIDERED].iter().map(|(c, _)| *c).collect();
+    considered.sort_by_key(|c| c.rank);
+    considered
 }
 
 /// Returns the cheapest placement on `parts` servers and its cost. `arrivals_per_s` is the rate of
@@ -258,7 +261,10 @@
 ) -> Option<(Placement, f64)> {
     let part_ms = request.prefill_ms() / parts as f64;
     let displaced_loss = arrivals_per_s * part_ms / 1e3 * DISPLACED_LOSS;
-    let long = division.long.iter().map(|c| (*c, participant_cost(request, c, part_ms) + jitter()));
+    let rank_cost = RANK_COST / division.long.len().max(1) as f64;
+    let long = division.long.iter().enumerate().map(|(n, c)| {
+        (*c, participant_cost(request, c, part_ms) + jitter() + rank_cost * n as f64)
+    });
     let short = division.short.iter().map(|c| {
         let busy = c.load.backlog_ms + part_ms > HARMLESS_PREFILL_MS;
         (
--- a/crates/gateway/src/placement/utility.rs
+++ b/crates/gateway/src/placement/utility.rs
@@ -5,6 +5,7 @@
 use crate::engine::Profile;
 use crate::load::Streams;
 use crate::placement::Candidate;
+use crate::placement::prompt::HARMLESS_PREFILL_MS;
 
 /// Prompt tokens that add as much value as the base value of a request.
 const TOKENS_PER_VALUE: f64 = 10_000.0;
@@ -16,6 +17,9 @@
 const FIRST_ON_TIME_FRACTION: f64 = 0.25;
 /// Fraction of a limit from which an expected time counts as certainly late.
 const LATE_FRACTION: f64 = 1.15;
+/// Chance that a server gets a part of another prompt in the same pass, from a daemon that does not
+/// know of the first.
+const UNSEEN_PART_CHANCE: f64 = 0.1;
 
 /// Returns the expected loss, from 0 to [`LATE_LOSS`], of a response that is expected after `time`
 /// and is on time until `limit`.
@@ -75,12 +79,18 @@
     rest_ms + decode_ms + waiting_ms + part_ms
 }
 
-/// Returns the expected loss of a server's streams if it gets `part_ms` more prefill.
+/// Returns the expected loss of a server's streams if it gets `part_ms` more prefill, and perhaps
+/// another part in the same pass.
 pub fn stream_loss(profile: &Profile, candidate: &Candidate, part_ms: f64) -> f64 {
     let before = pass_ms(profile, candidate, 0.0);
     let after = pass_ms(profile, candidate, part_ms);
     let added_loss = |s: &Streams| {
-        s.value * (lateness(after, s.target_gap_ms) - lateness(before, s.target_gap_ms))
+        let added = |unseen_ms: f64| {
+            let lateness = |pass_ms: f64| lateness(pass_ms + unseen_ms, s.target_gap_ms);
+            lateness(after) - lateness(before)
+        };
+        let (seen, unseen) = (added(0.0), added(HARMLESS_PREFILL_MS));
+        s.value * (seen + (unseen - seen).max(0.0) * UNSEEN_PART_CHANCE)
     };
     candidate.load.streams.iter().filter(|s| s.value > 0.0).map(added_loss).sum()
 }
