gateway: the pace of servers that are slower than the others

Cause: a server's speed was taken from the configuration only, so a server that is slow by a factor got as much as the others until its backlog showed it.

Change: pace::Table compares the times of this daemon's own requests (first event, passes) with the expected ones, relative to the median of the servers. Daemons tell each other at most 32 servers that differ (tag 19 of the report). Beyond a factor of 1.6 a server's pass, backlog and parts are multiplied by its pace. A measure belongs to an incarnation and loses its weight in some seconds. A server is out of slots by its own number of slots.

With equal servers the decisions are the same as before.

--- a/crates/gateway/src/gateway/candidates.rs
+++ b/crates/gateway/src/gateway/candidates.rs
@@ -32,7 +32,11 @@
         let ledger = self.ledger.borrow();
         let peer_loads = ledger.peer_loads(now);
         let load = |s: &Server| ledger.total_load(&s.id, peer_loads.get(&server_key(&s.id)), now);
-        let describe = |s: &Server| Candidate::new(s.id.clone(), load(s), s.slots);
+        let paces = self.paces.borrow();
+        let describe = |s: &Server| {
+            let candidate = Candidate::new(s.id.clone(), load(s), s.slots);
+            Candidate { pace: paces.pace(s.start_key()), ..candidate }
+        };
         usable.into_iter().map(describe).collect()
     }
 
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod candidates;
 mod copies;
+mod paces;
 mod rate_limits;
 mod requests;
 mod role;
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -34,6 +34,7 @@
 use crate::load::server_key;
 use crate::observe::Metrics;
 use crate::observe::State;
+use crate::pace;
 use crate::peer;
 use crate::peer::Document;
 use crate::rate_limit;
@@ -69,6 +70,7 @@
     pub(super) ledger: RefCell<Ledger>,
     pub(super) health: RefCell<Health>,
     pub(super) backoffs: RefCell<backoff::Table>,
+    pub(super) paces: RefCell<pace::Table>,
     pub(super) rate_limits: RefCell<rate_limit::Table>,
     /// When each server last sent part of a response.
     pub(super) last_heard: RefCell<HashMap<runner::Id, Moment>>,
@@ -115,6 +117,7 @@
             ledger: RefCell::default(),
             health: RefCell::default(),
             backoffs: RefCell::default(),
+            paces: RefCell::default(),
             rate_limits: RefCell::default(),
             last_heard: RefCell::default(),
             suspects: RefCell::default(),
@@ -292,6 +295,7 @@
         self.ledger.borrow_mut().expire(now, known);
         self.pool.expire(now, known);
         self.health.borrow_mut().retain(known);
+        self.paces.borrow_mut().update(now);
         self.rate_limits.borrow_mut().expire(now, known);
         self.last_heard.borrow_mut().retain(|id, _| known(id));
         self.suspects.borrow_mut().expire(now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //!   servers may get work), [`freshness`] (how old the copies of the store are), [`changes`] (what
 //!   the copies lack), [`engine`] (prefill times of prompts), [`load`] (requests in flight per
 //!   server), [`placement`] (choice of server and helpers, or a refusal), [`budget`] (retries),
-//!   [`health`] (failing servers), [`backoff`] (pauses that servers ask for), [`rate_limit`] (rates that they state), [`suspect`] (requests that crash servers), [`events`] (splitting
+//!   [`health`] (failing servers), [`backoff`] (pauses that servers ask for), [`rate_limit`] (rates that they state), [`pace`] (how fast they are), [`suspect`] (requests that crash servers), [`events`] (splitting
 //!   streams into events), [`stop`] (phases of a graceful stop), [`pause`] (times in which the
 //!   process did not run);
 //! - I/O: [`http`] (the listener, connections to servers, handling of a request), [`relay`]
@@ -37,6 +37,7 @@
 pub mod http;
 pub mod load;
 pub mod observe;
+pub mod pace;
 pub mod pause;
 pub mod peer;
 pub mod placement;
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -140,6 +140,7 @@
         forward: false,
         origin: None,
         rate_limits: rate_limits(gateway, now),
+        paces: gateway.pace_reports(),
     }
 }
 
@@ -205,6 +206,7 @@
     }
     gateway.mark_reported_unusable_helpers(&report.unusable_helpers);
     apply_rate_limits(gateway, id, &report.rate_limits);
+    gateway.merge_paces(id, &report.paces);
     for confirmation in &report.confirmations {
         match confirmation.kind().try_into() {
             Ok(kind) => {
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -5,6 +5,7 @@
 use crate::fleet;
 use crate::freshness;
 use crate::load;
+use crate::peer::Pace;
 use crate::peer::RateLimit;
 use crate::suspect;
 use crate::suspect::Crash;
@@ -171,6 +172,9 @@
     /// Rate limits of servers that it knows.
     #[prost(message, repeated, tag = "15")]
     pub rate_limits: Vec<RateLimit>,
+    /// What it has measured of the pace of servers.
+    #[prost(message, repeated, tag = "19")]
+    pub paces: Vec<Pace>,
 }
 
 /// The state that a daemon sends to a peer that cannot get it from the store.
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -2,6 +2,7 @@
 
 use crate::load::Load;
 use crate::load::server_key;
+use crate::pace::Pace;
 
 /// A server that a request can be placed on.
 #[derive(Debug, Clone, PartialEq)]
@@ -14,12 +15,18 @@
     pub slots: u32,
     /// Sort key for assigning servers to the long division, identical in all daemons.
     pub rank: u64,
+    /// Its pace.
+    pub pace: Pace,
 }
 
 impl Candidate {
-    /// Creates a candidate from a server's id, load and slots.
+    /// Creates a candidate of usual pace from a server's id, load and slots.
     pub fn new(id: runner::Id, load: Load, slots: u32) -> Self {
         let rank = server_key(&id);
-        Self { id, load, slots, rank }
+        Self { id, load, slots, rank, pace: Pace::default() }
+    }
+    /// Returns the time that it takes for its backlog, in milliseconds.
+    pub fn backlog_ms(&self) -> f64 {
+        self.load.backlog_ms * self.pace.factor()
     }
 }
--- a/crates/gateway/src/placement/joint.rs
+++ b/crates/gateway/src/placement/joint.rs
@@ -64,7 +64,7 @@
         helpers: participants[1..].iter().map(|c| c.id.clone()).collect(),
         holders,
         part_ms,
-        first_ms: longest_backlog_ms(&participants) + part_ms,
+        first_ms: first_ms(&participants, part_ms),
         reason: Reason::Joint,
     })
 }
@@ -137,7 +137,7 @@
         let participants_cost: f64 =
             participants.iter().map(|c| participant_cost(request, c, part_ms)).sum();
         Self {
-            own: request.wait_cost(longest_backlog_ms(participants) + part_ms),
+            own: request.wait_cost(first_ms(participants, part_ms)),
             others: participants_cost + blocked_loss(division, demand, participants, part_ms),
         }
     }
@@ -167,6 +167,7 @@
     (short_loss_per_s + long_loss_per_s) * part_ms / 1e3 * BLOCKED_LOSS
 }
 
-fn longest_backlog_ms(participants: &[&Candidate]) -> f64 {
-    participants.iter().map(|c| c.load.backlog_ms).fold(0.0, f64::max)
+/// Returns the expected time until all participants have prefilled their parts, in milliseconds.
+fn first_ms(participants: &[&Candidate], part_ms: f64) -> f64 {
+    participants.iter().map(|c| c.backlog_ms() + part_ms * c.pace.factor()).fold(0.0, f64::max)
 }
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -130,7 +130,7 @@
         if load.memory + self.memory().get() > self.profile.memory.get() {
             cost += NO_MEMORY_COST;
         }
-        if load.requests >= self.profile.slots {
+        if load.requests >= candidate.slots {
             cost += NO_SLOT_COST;
         }
         cost
@@ -266,7 +266,7 @@
         (*c, participant_cost(request, c, part_ms) + jitter() + rank_cost * n as f64)
     });
     let short = division.short.iter().map(|c| {
-        let busy = c.load.backlog_ms + part_ms > HARMLESS_PREFILL_MS;
+        let busy = c.backlog_ms() + part_ms > HARMLESS_PREFILL_MS;
         (
             *c,
             participant_cost(request, c, part_ms)
@@ -279,9 +279,8 @@
     participants.truncate(parts);
     let own_costs = participants.iter().map(|(c, _)| (*c, request.cost(c, part_ms) + jitter()));
     let (first, _) = own_costs.min_by(|a, b| a.1.total_cmp(&b.1))?;
-    let longest_backlog_ms =
-        participants.iter().map(|(c, _)| c.load.backlog_ms).fold(0.0, f64::max);
-    let first_ms = longest_backlog_ms + part_ms;
+    let part_end_ms = |c: &Candidate| c.backlog_ms() + part_ms * c.pace.factor();
+    let first_ms = participants.iter().map(|(c, _)| part_end_ms(c)).fold(0.0, f64::max);
     let participants_cost: f64 = participants.iter().map(|(_, cost)| cost).sum();
     let cost = request.wait_cost(first_ms) + request.cost(first, part_ms) + participants_cost;
     let helpers = participants.iter().filter(|(c, _)| c.id != first.id).map(|(c, _)| c.id.clone());
@@ -306,10 +305,13 @@
 }
 
 /// Returns the cost of prefilling a part on a server: delays of its streams and of the prompts that
-/// wait there, and the wait for its backlog.
+/// wait there, the wait for its backlog, and the delay of the prompt by a server of slower pace.
 pub fn participant_cost(request: &Request<'_>, candidate: &Candidate, part_ms: f64) -> f64 {
+    let slower_ms = part_ms * (candidate.pace.factor() - 1.0);
+    let urgency = utility::first_urgency(request.prompt.tokens, request.target_latency);
     utility::stream_loss(request.profile, candidate, part_ms)
         + utility::waiting_loss(candidate, part_ms)
-        + candidate.load.backlog_ms / 1e3 * WAIT_COST_PER_S
+        + candidate.backlog_ms() / 1e3 * WAIT_COST_PER_S
+        + slower_ms * urgency
         + PARTICIPANT_COST
 }
--- a/crates/gateway/src/placement/utility.rs
+++ b/crates/gateway/src/placement/utility.rs
@@ -49,7 +49,7 @@
 /// Returns the expected loss of the prompts that wait at a server if it gets `part_ms` more prefill,
 /// which may be prefilled before them.
 pub fn waiting_loss(candidate: &Candidate, part_ms: f64) -> f64 {
-    candidate.load.urgency * part_ms * DELAY_FRACTION
+    candidate.load.urgency * part_ms * candidate.pace.factor() * DELAY_FRACTION
 }
 
 /// Returns the value that a response loses with each millisecond by which its first event is
@@ -64,7 +64,8 @@
     let load = &candidate.load;
     let sequences = f64::from(load.decoding);
     let context = Tokens::new(load.memory);
-    profile.decode_pass_ms(sequences, context) + load.backlog_ms + part_ms
+    let pass_ms = profile.decode_pass_ms(sequences, context) + load.backlog_ms + part_ms;
+    pass_ms * candidate.pace.factor()
 }
 
 /// Returns the expected time to the first event of a prompt that a server prefills in `part_ms`: the
@@ -73,10 +74,11 @@
 /// one pass more of the unanswered work may still be waiting.
 pub fn first_event_ms(profile: &Profile, candidate: &Candidate, part_ms: f64) -> f64 {
     let load = &candidate.load;
-    let decode_ms = pass_ms(profile, candidate, 0.0) - load.backlog_ms;
+    let context = Tokens::new(load.memory);
+    let decode_ms = profile.decode_pass_ms(f64::from(load.decoding), context);
     let waiting_ms = load.unanswered_ms.min(load.backlog_ms + decode_ms).max(load.backlog_ms);
     let rest_ms = if load.decoding > 0 || load.unanswered_ms > 0.0 { decode_ms / 2.0 } else { 0.0 };
-    rest_ms + decode_ms + waiting_ms + part_ms
+    (rest_ms + decode_ms + waiting_ms + part_ms) * candidate.pace.factor()
 }
 
 /// Returns the expected loss of a server's streams if it gets `part_ms` more prefill, and perhaps
--- a/crates/gateway/src/relay/dispatch.rs
+++ b/crates/gateway/src/relay/dispatch.rs
@@ -1,4 +1,6 @@
+use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::StatusCode;
 use kumquattiller_base::time::Moment;
@@ -27,6 +29,10 @@
     /// Memory reservations, released on drop.
     _tickets: Option<Reservations>,
     key: Key,
+    /// Expected length of a pass of the server as of the last event or the start, if it is known.
+    expected_pass: Cell<Option<Duration>>,
+    /// When the last part of the response arrived.
+    last_progress: Cell<Option<Moment>>,
     /// When it was placed.
     pub started: Moment,
 }
@@ -40,6 +46,7 @@
         reservations: Option<Reservations>,
     ) -> Self {
         let now = gateway.now();
+        let expected_pass = gateway.expected_pass(request, &placement.server);
         let key = gateway.ledger().borrow_mut().start(gateway.assignments(request, placement), now);
         gateway.count_joint_demand(placement);
         let helpers = gateway.helpers(placement, reservations.as_ref());
@@ -62,6 +69,8 @@
             helpers,
             _tickets: reservations,
             key,
+            expected_pass: Cell::new(expected_pass),
+            last_progress: Cell::new(None),
             started: now,
         }
     }
@@ -89,9 +98,29 @@
             ledger.mark_late(self.key);
         }
         drop(ledger);
+        self.record_pace();
         self.gateway.record_activity(&self.placement.server);
     }
 
+    /// Compares the time to the first event, or between events, with what was expected. Events that
+    /// were read together, and prompts that other servers helped with, say nothing of the server.
+    fn record_pace(&self) {
+        let (now, server) = (self.gateway.now(), &self.placement.server);
+        let pass = self.gateway.expected_pass(&self.request, server);
+        let last = self.last_progress.replace(Some(now));
+        let (Some(before), Some(after)) = (self.expected_pass.replace(pass), pass) else {
+            return;
+        };
+        let first = Duration::from_secs_f64(self.placement.first_ms / 1e3);
+        let (expected, seen) = match last {
+            None => (first, now.since(self.started)),
+            Some(last) => (before.max(after), now.since(last)),
+        };
+        if self.placement.helpers.is_empty() && seen >= expected / 2 {
+            self.gateway.record_pace(server, expected, seen);
+        }
+    }
+
     /// Records the outcome of the attempt; `why` is the reason for the log.
     pub fn record_outcome(&self, outcome: Outcome, why: &str) {
         self.log_outcome(outcome, why);
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod freshness;
 mod joint;
 mod load;
+mod pace;
 mod pause;
 mod peers;
 mod placement;
--- a/crates/gateway/tests/testsuite/placement.rs
+++ b/crates/gateway/tests/testsuite/placement.rs
@@ -7,6 +7,7 @@
 use kumquattiller_gateway::load::Demand;
 use kumquattiller_gateway::load::Load;
 use kumquattiller_gateway::load::Streams;
+use kumquattiller_gateway::pace::Pace;
 use kumquattiller_gateway::placement::Candidate;
 use kumquattiller_gateway::placement::Declined;
 use kumquattiller_gateway::placement::Division;
@@ -158,3 +159,16 @@
     let urgent = servers.filter(|id| candidates.iter().any(|c| c.id == **id && c.load == waiting));
     assert_eq!(urgent.count(), 0, "{placement:?}");
 }
+
+/// Guards against sending a slow server as much as the others until its backlog shows it.
+#[test]
+fn a_prompt_avoids_a_slow_server() {
+    let mut candidates = candidates(&[Load::default(); 4]);
+    candidates.sort_by_key(|c| c.rank);
+    candidates[3].pace = Pace::new(5.0);
+    for tokens in [5_000, 60_000] {
+        let placement = place(tokens, 1_500, 250, &candidates);
+        assert_ne!(placement.server, candidates[3].id);
+        assert!(!placement.helpers.contains(&candidates[3].id));
+    }
+}
