--- a/crates/gateway/src/gateway/candidates.rs
+++ b/crates/gateway/src/gateway/candidates.rs
@@ -33,14 +33,15 @@
         let ledger = self.ledger.borrow();
         let peer_loads = ledger.peer_loads(now);
         let load = |s: &Server| ledger.total_load(&s.id, peer_loads.get(&server_key(&s.id)), now);
-        let starts = self.starts.borrow();
+        let (starts, paces) = (self.starts.borrow(), self.paces.borrow());
         let ramp = |s: &Server, requests: u32| {
             starts.age(&s.id, now).map_or(0.0, |age| ramp_cost(age, requests, s.slots))
         };
         let describe = |s: &Server| {
             let load = load(s);
             let ramp_cost = ramp(s, load.requests);
-            Candidate::new(s.id.clone(), load, s.slots).with_ramp_cost(ramp_cost)
+            let candidate = Candidate::new(s.id.clone(), load, s.slots).with_ramp_cost(ramp_cost);
+            Candidate { pace: paces.pace(s.start_key()), ..candidate }
         };
         usable.into_iter().map(describe).collect()
     }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod copies;
 mod evacuations;
+mod paces;
 mod queue;
 mod rate_limits;
 mod regions;
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -36,6 +36,7 @@
 use crate::load::server_key;
 use crate::observe::Metrics;
 use crate::observe::State;
+use crate::pace;
 use crate::pause;
 use crate::peer;
 use crate::peer::Document;
@@ -81,6 +82,7 @@
     pub(super) ledger: RefCell<Ledger>,
     pub(super) health: RefCell<Health>,
     pub(super) backoffs: RefCell<backoff::Table>,
+    pub(super) paces: RefCell<pace::Table>,
     pub(super) rate_limits: RefCell<rate_limit::Table>,
     /// The daemons between which the rates of cold servers are divided.
     pub(super) roster: RefCell<rate_limit::Roster>,
@@ -138,6 +140,7 @@
             ledger: RefCell::default(),
             health: RefCell::default(),
             backoffs: RefCell::default(),
+            paces: RefCell::default(),
             rate_limits: RefCell::default(),
             roster: RefCell::default(),
             last_heard: RefCell::default(),
@@ -320,6 +323,7 @@
         self.ledger.borrow_mut().expire(now, known);
         self.pool.expire(now, known);
         self.health.borrow_mut().retain(known);
+        self.paces.borrow_mut().update(now);
         self.rate_limits.borrow_mut().expire(now, known);
         self.last_heard.borrow_mut().retain(|id, _| known(id));
         self.suspects.borrow_mut().expire(now);
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -145,6 +145,7 @@
         rate_limits: rate_limits(gateway, now),
         queue: Queue::of(&queue, now),
         accounts: queue.usages.iter().map(Into::into).collect(),
+        paces: gateway.pace_reports(),
     }
 }
 
@@ -211,6 +212,7 @@
     gateway.mark_reported_unusable_helpers(&report.unusable_helpers);
     apply_queue(gateway, id, report, now);
     apply_rate_limits(gateway, id, &report.rate_limits);
+    gateway.merge_paces(id, &report.paces);
     for confirmation in &report.confirmations {
         match confirmation.kind().try_into() {
             Ok(kind) => {
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -6,6 +6,7 @@
 use crate::freshness;
 use crate::load;
 use crate::peer::Consumption;
+use crate::peer::Pace;
 use crate::peer::Queue;
 use crate::peer::RateLimit;
 use crate::peer::transfer;
@@ -182,6 +183,9 @@
     /// What the largest client accounts asked for and got there.
     #[prost(message, repeated, tag = "18")]
     pub accounts: Vec<Consumption>,
+    /// What it has measured of the pace of servers.
+    #[prost(message, repeated, tag = "19")]
+    pub paces: Vec<Pace>,
 }
 
 /// The state that a daemon sends to a peer that cannot get it from the store.
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -2,6 +2,7 @@
 
 use crate::load::Load;
 use crate::load::server_key;
+use crate::pace::Pace;
 
 /// A server that a request can be placed on.
 #[derive(Debug, Clone, PartialEq)]
@@ -16,17 +17,24 @@
     pub rank: u64,
     /// Cost of its slow start, in units of request value; 0 if it has been running for a while.
     pub ramp_cost: f64,
+    /// Its pace.
+    pub pace: Pace,
 }
 
 impl Candidate {
-    /// Creates a candidate from a server's id, load and slots.
+    /// Creates a candidate of usual pace from a server's id, load and slots.
     pub fn new(id: runner::Id, load: Load, slots: u32) -> Self {
         let rank = server_key(&id);
-        Self { id, load, slots, rank, ramp_cost: 0.0 }
+        Self { id, load, slots, rank, ramp_cost: 0.0, pace: Pace::default() }
     }
 
     /// Returns the candidate with the cost of its slow start.
     pub fn with_ramp_cost(self, ramp_cost: f64) -> Self {
         Self { ramp_cost, ..self }
     }
+
+    /// Returns the time that it takes for its backlog, in milliseconds.
+    pub fn backlog_ms(&self) -> f64 {
+        self.load.backlog_ms * self.pace.factor()
+    }
 }
--- a/crates/gateway/src/placement/utility.rs
+++ b/crates/gateway/src/placement/utility.rs
@@ -5,6 +5,7 @@
 use crate::engine::Profile;
 use crate::load::Streams;
 use crate::placement::Candidate;
+use crate::placement::prompt::HARMLESS_PREFILL_MS;
 
 /// Prompt tokens that add as much value as the base value of a request.
 const TOKENS_PER_VALUE: f64 = 10_000.0;
@@ -16,6 +17,9 @@
 const FIRST_ON_TIME_FRACTION: f64 = 0.25;
 /// Fraction of a limit from which an expected time counts as certainly late.
 const LATE_FRACTION: f64 = 1.15;
+/// Chance that a server gets a part of another prompt in the same pass, from a daemon that does not
+/// know of the first.
+const UNSEEN_PART_CHANCE: f64 = 0.1;
 
 /// Returns the expected loss, from 0 to [`LATE_LOSS`], of a response that is expected after `time`
 /// and is on time until `limit`.
@@ -45,7 +49,7 @@
 /// Returns the expected loss of the prompts that wait at a server if it gets `part_ms` more prefill,
 /// which may be prefilled before them.
 pub fn waiting_loss(candidate: &Candidate, part_ms: f64) -> f64 {
-    candidate.load.urgency * part_ms * DELAY_FRACTION
+    candidate.load.urgency * part_ms * candidate.pace.factor() * DELAY_FRACTION
 }
 
 /// Returns the value that a response loses with each millisecond by which its first event is
@@ -60,7 +64,8 @@
     let load = &candidate.load;
     let sequences = f64::from(load.decoding);
     let context = Tokens::new(load.memory);
-    profile.decode_pass_ms(sequences, context) + load.backlog_ms + part_ms
+    let pass_ms = profile.decode_pass_ms(sequences, context) + load.backlog_ms + part_ms;
+    pass_ms * candidate.pace.factor()
 }
 
 /// Returns the expected time to the first event of a prompt that a server prefills in `part_ms`: the
@@ -69,18 +74,25 @@
 /// one pass more of the unanswered work may still be waiting.
 pub fn first_event_ms(profile: &Profile, candidate: &Candidate, part_ms: f64) -> f64 {
     let load = &candidate.load;
-    let decode_ms = pass_ms(profile, candidate, 0.0) - load.backlog_ms;
+    let context = Tokens::new(load.memory);
+    let decode_ms = profile.decode_pass_ms(f64::from(load.decoding), context);
     let waiting_ms = load.unanswered_ms.min(load.backlog_ms + decode_ms).max(load.backlog_ms);
     let rest_ms = if load.decoding > 0 || load.unanswered_ms > 0.0 { decode_ms / 2.0 } else { 0.0 };
-    rest_ms + decode_ms + waiting_ms + part_ms
+    (rest_ms + decode_ms + waiting_ms + part_ms) * candidate.pace.factor()
 }
 
-/// Returns the expected loss of a server's streams if it gets `part_ms` more prefill.
+/// Returns the expected loss of a server's streams if it gets `part_ms` more prefill, and perhaps
+/// another part in the same pass.
 pub fn stream_loss(profile: &Profile, candidate: &Candidate, part_ms: f64) -> f64 {
     let before = pass_ms(profile, candidate, 0.0);
     let after = pass_ms(profile, candidate, part_ms);
     let added_loss = |s: &Streams| {
-        s.value * (lateness(after, s.target_gap_ms) - lateness(before, s.target_gap_ms))
+        let added = |unseen_ms: f64| {
+            let lateness = |pass_ms: f64| lateness(pass_ms + unseen_ms, s.target_gap_ms);
+            lateness(after) - lateness(before)
+        };
+        let (seen, unseen) = (added(0.0), added(HARMLESS_PREFILL_MS));
+        s.value * (seen + (unseen - seen).max(0.0) * UNSEEN_PART_CHANCE)
     };
     candidate.load.streams.iter().filter(|s| s.value > 0.0).map(added_loss).sum()
 }
