--- a/crates/gateway/src/gateway/evacuations.rs
+++ b/crates/gateway/src/gateway/evacuations.rs
@@ -94,10 +94,20 @@
     }
 
     fn log_evacuation(&self, zone: &Zone) {
-        let servers = self.servers_in(zone);
-        let age_ms = self.age_ms(Kind::Evacuations);
+        let (servers, age_ms) = (self.servers_in(zone), self.age_ms(Kind::Evacuations));
         info!(target: "fleet", zone:%, servers, age_ms; "zone evacuated");
-        if servers == 0 && self.fleet_loaded.get() {
+        if self.fleet_loaded.get() {
+            self.warn_if_empty(zone);
+        }
+    }
+
+    /// Logs the evacuated zones in which no server is, since their names may be wrong.
+    pub(super) fn warn_of_empty_zones(&self) {
+        self.evacuations.borrow().zones().for_each(|zone| self.warn_if_empty(zone));
+    }
+
+    fn warn_if_empty(&self, zone: &Zone) {
+        if self.servers_in(zone) == 0 {
             warn!(target: "fleet", zone:%; "no server is in the evacuated zone");
         }
     }
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -44,7 +44,9 @@
 
     /// Records that the list of backend servers has been loaded.
     pub fn set_fleet_loaded(&self) {
-        self.fleet_loaded.set(true);
+        if !self.fleet_loaded.replace(true) {
+            self.warn_of_empty_zones();
+        }
         self.data_loaded.notify_waiters();
     }
 
