--- a/crates/gateway/src/gateway/cold.rs
+++ b/crates/gateway/src/gateway/cold.rs
@@ -56,7 +56,9 @@
             };
             self.record_cold(server, ColdStatement::now(left), Origin::Registration, "store");
         }
-        self.update_cold_shares();
+        if !news.is_empty() {
+            self.update_cold_shares();
+        }
     }
 
     /// Applies the cold starts of the first configuration to servers that were known before it and
@@ -159,8 +161,8 @@
         }
         let (bound, join_delay) = (self.settings.cold_bound, self.join_delay());
         let terms = |id: &runner::Id| {
-            let server = self.fleet.borrow().server(id).cloned();
-            let cold_start = server.and_then(|server| self.cold_start(&server));
+            let fleet = self.fleet.borrow();
+            let cold_start = fleet.server(id).and_then(|server| self.cold_start(server));
             Terms { rate: cold_start.map(|s| s.rate), bound, join_delay }
         };
         self.rate_limits.borrow_mut().update_cold_shares(&self.settings.name, &roster, terms, now);
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -302,6 +302,9 @@
         self.ledger.borrow_mut().expire(now, known);
         self.pool.expire(now, known);
         self.health.borrow_mut().retain(known);
+        for id in self.rate_limits.borrow_mut().take_cold_ends(now) {
+            info!(target: "fleet", server:% = id; "the cold time of the server is over");
+        }
         self.rate_limits.borrow_mut().expire(now, known);
         self.last_heard.borrow_mut().retain(|id, _| known(id));
         self.suspects.borrow_mut().expire(now);
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -143,9 +143,13 @@
     }
 }
 
+/// Returns what the peers are told of limits: what is known of stated ones before cold states, which
+/// peers also learn from registrations.
 fn rate_limits(gateway: &Gateway, now: Moment) -> Vec<RateLimit> {
     let limits = gateway.rate_limits().borrow();
-    limits.reports(now).take(MAX_RATE_LIMITS).map(Into::into).collect()
+    let mut reports: Vec<rate_limit::Report> = limits.reports(now).collect();
+    reports.sort_by_key(|report| report.cold.is_some() && report.statement.is_none());
+    reports.into_iter().take(MAX_RATE_LIMITS).map(Into::into).collect()
 }
 
 /// Decodes a report from a peer, applies it, and forwards it if the peer asks for that.
--- a/crates/gateway/src/rate_limit/cold.rs
+++ b/crates/gateway/src/rate_limit/cold.rs
@@ -19,6 +19,10 @@
 /// server. Requests that were placed over such a time may be sent at once.
 pub(super) const MAX_SEND_DELAY: Duration = Duration::from_millis(250);
 
+/// Difference up to which two statements of the end of a cold state are the same: about the time
+/// that responses and reports take.
+const CONFIRMED_DIFFERENCE: Duration = Duration::from_millis(500);
+
 /// What a share was determined from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Basis {
@@ -38,6 +42,8 @@
     ends: Moment,
     /// Whether the server made it in a response to this daemon.
     is_own: bool,
+    /// Whether the end of the cold state is still to be told to the log.
+    is_end_due: bool,
     basis: Option<Basis>,
     /// The share of a daemon that has one, whether or not this one does.
     usual_share: Option<Rate>,
@@ -52,6 +58,7 @@
             since: Moment::ZERO,
             ends: Moment::ZERO,
             is_own: false,
+            is_end_due: false,
             basis: None,
             usual_share: None,
             allowance: Allowance::empty(now),
@@ -63,26 +70,41 @@
         self.ends > now
     }
 
+    /// Returns whether the cold state has ended at its time since the last call.
+    pub(super) fn take_end(&mut self, now: Moment) -> bool {
+        let has_ended = self.is_end_due && !self.is_active(now);
+        self.is_end_due &= !has_ended;
+        has_ended
+    }
+
     /// Returns how much longer the server is cold.
     pub(super) const fn left(&self, now: Moment) -> Duration {
         self.ends.since(now)
     }
 
     /// Applies a statement, unless a newer one is known. A server that was warm begins with empty
-    /// shares.
+    /// shares. A response that only confirms what is known is not reported to the peers.
     pub(super) fn record(&mut self, statement: ColdStatement, origin: Origin, now: Moment) {
         let at = now - statement.age;
         if at < self.at || (at == self.at && origin == Origin::Peer) {
             return;
         }
-        if !self.is_active(now) {
+        let was_active = self.is_active(now);
+        if !was_active && statement.left.is_zero() {
+            return;
+        }
+        if !was_active {
             self.allowance = Allowance::empty(now);
             self.basis = None;
             self.since = now;
         }
+        let ends = now + statement.left.min(MAX_COLD_TIME);
+        let difference = ends.since(self.ends).max(self.ends.since(ends));
+        let is_confirmed = was_active && difference <= CONFIRMED_DIFFERENCE;
         self.at = at;
-        self.ends = now + statement.left.min(MAX_COLD_TIME);
-        self.is_own = origin == Origin::Response;
+        self.ends = ends;
+        self.is_end_due = self.is_active(now);
+        self.is_own = origin == Origin::Response && (self.is_own || !is_confirmed);
     }
 
     /// Ends the cold state of an incarnation that is gone.
@@ -90,6 +112,7 @@
         self.at = now;
         self.ends = Moment::ZERO;
         self.is_own = false;
+        self.is_end_due = false;
     }
 
     /// Determines the share of this daemon again, if anything that it depends on has changed.
@@ -145,7 +168,8 @@
         }
         let elsewhere = || self.usual_share.map(|share| share.time_for(1.0));
         let in_share = self.allowance.time_left(now).or_else(elsewhere);
-        in_share.unwrap_or(Duration::MAX).min(self.left(now))
+        let beginning = MAX_SEND_DELAY.saturating_sub(now.since(self.since));
+        in_share.unwrap_or(Duration::MAX).max(beginning).min(self.left(now))
     }
 
     /// Counts a request that is sent to the server.
--- a/crates/gateway/src/rate_limit/entry.rs
+++ b/crates/gateway/src/rate_limit/entry.rs
@@ -103,6 +103,11 @@
         self.cold.left(now)
     }
 
+    /// Returns whether the cold state has ended at its time since the last call.
+    pub(super) fn take_cold_end(&mut self, now: Moment) -> bool {
+        self.cold.take_end(now)
+    }
+
     /// Returns whether the server has just become cold.
     pub(super) fn is_cold_beginning(&self, now: Moment) -> bool {
         self.cold.is_beginning(now)
--- a/crates/gateway/src/rate_limit/table.rs
+++ b/crates/gateway/src/rate_limit/table.rs
@@ -198,6 +198,13 @@
         self.entries.get(server).map_or(Duration::ZERO, |entry| entry.cold_left(now))
     }
 
+    /// Returns the servers whose cold states have ended at their times since the last call.
+    pub fn take_cold_ends(&mut self, now: Moment) -> Vec<runner::Id> {
+        let ended =
+            self.entries.iter_mut().filter_map(|(id, e)| e.take_cold_end(now).then_some(id));
+        ended.cloned().collect()
+    }
+
     /// Returns whether a server has become cold so recently that what is about to be sent may have been
     /// placed before, without regard to the limit.
     pub fn is_cold_beginning(&self, server: &runner::Id, now: Moment) -> bool {
