--- a/crates/routing/src/queue/peers.rs
+++ b/crates/routing/src/queue/peers.rs
@@ -15,8 +15,9 @@
 use crate::queue::Slot;
 
 /// Time for which the promises of other daemons are recognised, also if the daemon has died since.
-/// It covers a third of the longest usual deadline.
-const IDENTITY_RETENTION: Duration = Duration::from_secs(10);
+/// It covers the longest delay that callers with a
+/// deadline of 30 s honour.
+pub(super) const IDENTITY_RETENTION: Duration = Duration::from_secs(10);
 /// Maximum number of promised requests of other daemons that are kept.
 const MAX_IDENTITIES: usize = 4_096;
 
--- a/crates/routing/src/queue/shares.rs
+++ b/crates/routing/src/queue/shares.rs
@@ -1,5 +1,7 @@
 use std::collections::HashMap;
 
+use kumquattiller_base::size::Tokens;
+
 use crate::queue::Consumer;
 use crate::queue::Consumption;
 use crate::queue::Usage;
@@ -31,10 +33,11 @@
         Self { usages: sums, level }
     }
 
-    /// Returns whether a consumer has had more than its share while capacity is short.
-    pub fn is_exceeded(&self, consumer: Consumer) -> bool {
+    /// Returns whether a consumer has had more than its share while capacity is short. The share is
+    /// rounded to whole requests of the given size: a few large ones cannot be divided equally.
+    pub fn is_exceeded(&self, consumer: Consumer, request: Tokens) -> bool {
         let served = self.usages.get(&consumer).map_or(0.0, |usage| usage.served);
-        self.level.is_some_and(|level| served > level)
+        self.level.is_some_and(|level| served > level + request.get() as f64 / 2.0)
     }
 
     /// Returns the largest part of a consumer in tokens, or `None` if shares bind nobody.
--- a/crates/routing/src/queue/state.rs
+++ b/crates/routing/src/queue/state.rs
@@ -24,6 +24,7 @@
 use crate::queue::Shortage;
 use crate::queue::Turn;
 use crate::queue::Usage;
+use crate::queue::peers::IDENTITY_RETENTION;
 use crate::queue::peers::Peers;
 use crate::queue::usage::Dated;
 use crate::queue::waiting::Waiting;
@@ -57,6 +58,13 @@
     pub bytes: Bytes,
 }
 
+/// A promised request that has returned to this daemon.
+#[derive(Debug, Clone, Copy)]
+struct Return {
+    identity: Identity,
+    at: Moment,
+}
+
 /// The requests that wait at one daemon, and what it knows of those at others.
 #[derive(Debug, Clone)]
 pub struct Queue {
@@ -65,7 +73,7 @@
     waiting: BTreeMap<Key, Waiting>,
     promises: Promises,
     /// Promised requests that have returned to this daemon, newest last.
-    returned: VecDeque<Identity>,
+    returned: VecDeque<Return>,
     peers: Peers,
     usages: HashMap<Consumer, Dated>,
     shares: Shares,
@@ -218,6 +226,7 @@
     /// Forgets what is too old. `max_age` is the age from which a report no longer counts.
     pub fn expire(&mut self, now: Moment, max_age: Duration) {
         self.promises.expire(now);
+        self.returned.retain(|r| now.since(r.at) <= IDENTITY_RETENTION);
         self.peers.expire(now, max_age);
         self.usages.retain(|_, dated| dated.at(now).asked.max(dated.at(now).served) > MIN_USAGE);
     }
@@ -238,7 +247,7 @@
             other_work: others.iter().map(|p| p.work).sum(),
             slots,
             promised: self.promises.newest(MAX_REPORTED_IDENTITIES),
-            returned: self.returned.iter().rev().take(MAX_REPORTED_IDENTITIES).copied().collect(),
+            returned: self.returned.iter().rev().map(|r| r.identity).collect(),
             usages,
         }
     }
@@ -287,7 +296,7 @@
         let known = self.promises.take(identity) || self.peers.has_promised(identity);
         if known {
             self.peers.mark_returned(identity, now);
-            self.returned.push_back(identity);
+            self.returned.push_back(Return { identity, at: now });
             if self.returned.len() > MAX_REPORTED_IDENTITIES {
                 self.returned.pop_front();
             }
@@ -301,7 +310,7 @@
     }
 
     fn place(&self, waiting: &Waiting) -> Place {
-        waiting.place(self.shares.is_exceeded(waiting.entry.consumer))
+        waiting.place(self.shares.is_exceeded(waiting.entry.consumer, waiting.entry.footprint))
     }
 
     /// Returns the places of all other waiting requests at all daemons.
