gateway: slow servers hold large prompts last; paces last longer

Cause: a slow server that short prompts avoid has the most free memory, so prompts that several servers hold were given to it first.

Change: slow servers hold a part only if the others have too little memory. The samples' time constant is 5 s instead of 2 s. The replay measures paces as Dispatch does, and plays a fleet in which every ninth server is slow by 5.

--- a/crates/gateway/src/pace/measure.rs
+++ b/crates/gateway/src/pace/measure.rs
@@ -3,7 +3,7 @@
 use kumquattiller_base::time::Moment;
 
 /// Time constant with which samples lose their weight.
-const TIME_CONSTANT: Duration = Duration::from_secs(2);
+const TIME_CONSTANT: Duration = Duration::from_secs(5);
 /// Largest factor that one sample counts as. Servers that are slower still are avoided as much.
 const MAX_FACTOR: f64 = 16.0;
 /// Largest weight of a measure from a peer, so that an absurd one does not outweigh all others.
--- a/crates/gateway/src/placement/joint.rs
+++ b/crates/gateway/src/placement/joint.rs
@@ -5,6 +5,7 @@
 use crate::dialect::Prompt;
 use crate::engine::Profile;
 use crate::load::Demand;
+use crate::pace::Pace;
 use crate::placement::Candidate;
 use crate::placement::Declined;
 use crate::placement::Division;
@@ -30,7 +31,8 @@
 /// Places a prompt that exceeds the memory of a single engine on several servers.
 ///
 /// Such prompts are rare, and their prefill takes ten seconds of engine time or more. The servers
-/// with the most free memory hold the prompt, and further servers may help with the prefill.
+/// with the most free memory hold the prompt, slow ones only if the others have too little, and
+/// further servers may help with the prefill.
 ///
 /// # Errors
 ///
@@ -43,7 +45,8 @@
 ) -> Result<Placement, Declined> {
     let mut ranked: Vec<&Candidate> =
         division.long.iter().chain(&division.short).copied().collect();
-    ranked.sort_by_key(|c| (Reverse(free_tokens(request, c)), c.load.requests, c.rank));
+    let is_slow = |c: &Candidate| c.pace > Pace::default();
+    ranked.sort_by_key(|c| (is_slow(c), Reverse(free_tokens(request, c)), c.load.requests, c.rank));
     let holders = holders(request, &ranked).ok_or(Declined::NoMemory)?;
     let min_parts = holders.len() + 1;
     let max_parts = ranked.len().min(MAX_HELPERS + 1);
--- a/crates/gateway/tests/testsuite/replay/fleet.rs
+++ b/crates/gateway/tests/testsuite/replay/fleet.rs
@@ -1,5 +1,7 @@
 use std::collections::HashMap;
+use std::time::Duration;
 
+use kumquattiller_base::daemon;
 use kumquattiller_base::runner;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
@@ -9,6 +11,7 @@
 use kumquattiller_gateway::load::Ledger;
 use kumquattiller_gateway::load::report_interval;
 use kumquattiller_gateway::load::server_key;
+use kumquattiller_gateway::pace;
 use kumquattiller_gateway::placement::Candidate;
 use kumquattiller_gateway::placement::Placement;
 use kumquattiller_gateway::placement::Request;
@@ -39,6 +42,7 @@
     /// Factor by which each engine is slower than its profile.
     pub paces: Vec<f64>,
     ledgers: Vec<Ledger>,
+    measured: Vec<pace::Table>,
     report_at: Vec<u64>,
     jobs: HashMap<usize, Job>,
     next: usize,
@@ -55,6 +59,7 @@
             engines: (0..engines).map(|_| Engine::default()).collect(),
             paces: vec![1.0; engines],
             ledgers: (0..daemons).map(|_| Ledger::default()).collect(),
+            measured: (0..daemons).map(|_| pace::Table::default()).collect(),
             report_at: (0..daemons as u64).map(|n| n * 4).collect(),
             jobs: HashMap::new(),
             next: 0,
@@ -105,6 +110,7 @@
         for server in &servers {
             self.engines[*server].waiting.push(Part::new(job, kind, placement.part_ms));
         }
+        let pass_ms = self.expected_pass_ms(daemon, servers[0]);
         let key = self.ledgers[daemon].start(assignments(kind, &prompt, &placement), now);
         if !placement.holders.is_empty() {
             let joint_ms = placement.part_ms * servers.len() as f64;
@@ -127,6 +133,9 @@
                 first_ms: None,
                 last_ms: 0,
                 longest_gap_ms: 0,
+                pass_ms,
+                expected_first_ms: placement.first_ms,
+                is_alone: placement.helpers.is_empty(),
             },
         );
     }
@@ -135,8 +144,11 @@
         let (ledger, now) = (&self.ledgers[daemon], self.now());
         let peer_loads = ledger.peer_loads(now);
         let load = |id: &runner::Id| ledger.total_load(id, peer_loads.get(&server_key(id)), now);
-        let candidate = |id: &runner::Id| Candidate::new(id.clone(), load(id), self.profile.slots);
-        let candidates: Vec<Candidate> = self.servers.iter().map(candidate).collect();
+        let candidate = |(n, id): (usize, &runner::Id)| {
+            let candidate = Candidate::new(id.clone(), load(id), self.profile.slots);
+            Candidate { pace: self.measured[daemon].pace(n as u64), ..candidate }
+        };
+        let candidates: Vec<Candidate> = self.servers.iter().enumerate().map(candidate).collect();
         let request = Request {
             prompt,
             target_latency: kind.target_latency(),
@@ -160,10 +172,13 @@
         self.report_at[daemon] = self.now_ms + report_interval(peers).as_millis() as u64;
         let demand = self.ledgers[daemon].local_demand(now);
         let loads: HashMap<_, _> = self.ledgers[daemon].report().collect();
+        let measures: HashMap<_, _> = self.measured[daemon].reports(now).into_iter().collect();
         for peer in (0..self.ledgers.len()).filter(|peer| *peer != daemon) {
-            let name = format!("daemon-{daemon}").parse().unwrap();
+            let name: daemon::Id = format!("daemon-{daemon}").parse().unwrap();
+            self.measured[peer].merge(&name, measures.clone());
             self.ledgers[peer].update_peer(name, demand, loads.clone(), now);
         }
+        self.measured[daemon].update(now);
         self.ledgers[daemon].expire(now, |_| true);
     }
 
@@ -185,8 +200,37 @@
         self.engines[server].start_pass(self.now_ms, &self.profile, pace, &self.jobs);
     }
 
+    /// Compares the time until an event of a job with the expected one, as `Dispatch` does.
+    fn measure(&mut self, id: usize) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let pass_ms = self.expected_pass_ms(job.daemon, job.server);
+        let job = self.jobs.get_mut(&id).unwrap();
+        let (Some(before), Some(after)) = (std::mem::replace(&mut job.pass_ms, pass_ms), pass_ms)
+        else {
+            return;
+        };
+        let (expected_ms, since_ms) = match job.first_ms {
+            None => (job.expected_first_ms, job.arrived_ms),
+            Some(_) => (before.max(after), job.last_ms),
+        };
+        let seen = Duration::from_millis(self.now_ms - since_ms);
+        let expected = Duration::from_secs_f64(expected_ms / 1e3);
+        if job.is_alone && seen >= expected / 2 {
+            let now = Moment::from_millis(self.now_ms);
+            self.measured[job.daemon].record(job.server as u64, expected, seen, now);
+        }
+    }
+
+    fn expected_pass_ms(&self, daemon: usize, server: usize) -> Option<f64> {
+        let load = self.ledgers[daemon].server_load(&self.servers[server], self.now());
+        let context = Tokens::new(load.memory);
+        let decode_ms = self.profile.decode_pass_ms(f64::from(load.decoding), context);
+        (load.unanswered_ms <= decode_ms).then(|| decode_ms + load.unanswered_ms / 2.0)
+    }
+
     /// Delivers an event of a job, which may be its last.
     fn event(&mut self, id: usize) {
+        self.measure(id);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let on_time = job.record_event(self.now_ms);
         let ledger = &mut self.ledgers[job.daemon];
--- a/crates/gateway/tests/testsuite/replay/job.rs
+++ b/crates/gateway/tests/testsuite/replay/job.rs
@@ -82,6 +82,10 @@
     pub first_ms: Option<u64>,
     pub last_ms: u64,
     pub longest_gap_ms: u64,
+    /// Expected length of a pass as of the last event or the start, if it is known.
+    pub pass_ms: Option<f64>,
+    pub expected_first_ms: f64,
+    pub is_alone: bool,
 }
 
 impl Job {
--- a/crates/gateway/tests/testsuite/uneven.rs
+++ b/crates/gateway/tests/testsuite/uneven.rs
@@ -72,3 +72,13 @@
         late_fraction(&outcomes, |at_ms| at_ms / MIX_MS % 2 == 1 && at_ms % MIX_MS < AFTER_JUMP_MS);
     assert!(late < 0.08, "{late}");
 }
+
+/// Guards against servers that are slow for long getting as many short streams as the others.
+#[test]
+fn few_short_streams_are_late_with_some_slow_servers() {
+    let mut fleet = Fleet::new(PROFILE, 78, 23, 3);
+    fleet.paces.iter_mut().step_by(9).for_each(|pace| *pace = 5.0);
+    let outcomes = fleet.play(30_000, |kind, _| quiet(kind));
+    let late = late_fraction(&outcomes, |at_ms| at_ms > WARM_UP_MS);
+    assert!(late < 0.06, "{late}");
+}
