gateway: what servers hold of prompts is known, told between daemons and counted

Cause: the gateway places each prompt as if no server had computed its beginning before. Change: the prefix index of kumquattiller-routing keeps several dated holders of a hash and serves both paths; kumquattiller_gateway::prefix keeps what each server probably holds, within the capacity that the configuration states, and reports the prefixes used most.

--- a/crates/gateway/src/config/service.rs
+++ b/crates/gateway/src/config/service.rs
@@ -1,4 +1,5 @@
 use kumquattiller_base::service;
+use kumquattiller_base::size::Tokens;
 
 use crate::config::ColdStart;
 use crate::engine::Profile;
@@ -12,4 +13,6 @@
     pub engine: Option<Profile>,
     /// How its servers behave after their start; `None` if they take any rate at once.
     pub cold_start: Option<ColdStart>,
+    /// Capacity of the prefix cache of each of its engines; `None` if they keep no prefixes.
+    pub prefix_cache: Option<Tokens>,
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -29,6 +29,15 @@
     pub max_output: Tokens,
 }
 
+/// A part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Identifies the part.
+    pub fingerprint: Fingerprint,
+    /// Length of the part; zero if it is not stated.
+    pub tokens: Tokens,
+}
+
 /// Metadata of a caller's request, parsed from its head.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RequestInfo {
@@ -40,8 +49,16 @@
     pub timeout: Option<Duration>,
     /// The prompt, if the request is for an engine.
     pub prompt: Option<Prompt>,
-    /// The parts of the prompt that other requests may share, in order.
-    pub shared_parts: Vec<Fingerprint>,
+    /// The parts of the prompt, in order. The last one belongs to the request or its session.
+    pub prompt_parts: Vec<PromptPart>,
+}
+
+impl RequestInfo {
+    /// Returns the parts of the prompt that other requests may share, in order.
+    pub fn shared_parts(&self) -> Vec<Fingerprint> {
+        let shared = self.prompt_parts.split_last().map_or(&[][..], |(_own, shared)| shared);
+        shared.iter().map(|part| part.fingerprint).collect()
+    }
 }
 
 /// A server that prefills a part of a prompt for another server.
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod candidates;
 mod copies;
+mod prefixes;
 mod rate_limits;
 mod requests;
 mod role;
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -78,8 +78,10 @@
     /// Fails if the request cannot be placed.
     pub fn place(&self, request: &Request, tried: &[runner::Id]) -> Result<Placement, Declined> {
         let now = self.now();
-        let candidates = self.candidates(request, tried, now);
+        let mut candidates = self.candidates(request, tried, now);
+        self.add_savings(request, &mut candidates, now);
         let placement = self.choose(request, &candidates, now)?;
+        self.record_reuse(request, &candidates, &placement, now);
         self.count_against_limits(&placement);
         Ok(placement)
     }
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -36,6 +36,7 @@
 use crate::observe::State;
 use crate::peer;
 use crate::peer::Document;
+use crate::prefix;
 use crate::rate_limit;
 use crate::settings::Settings;
 use crate::stop::Phase;
@@ -70,6 +71,8 @@
     pub(super) health: RefCell<Health>,
     pub(super) backoffs: RefCell<backoff::Table>,
     pub(super) rate_limits: RefCell<rate_limit::Table>,
+    /// The prompt prefixes that the servers probably hold.
+    pub(super) prefixes: RefCell<prefix::Table>,
     /// When each server last sent part of a response.
     pub(super) last_heard: RefCell<HashMap<runner::Id, Moment>>,
     pub(super) suspects: RefCell<Suspects>,
@@ -116,6 +119,7 @@
             health: RefCell::default(),
             backoffs: RefCell::default(),
             rate_limits: RefCell::default(),
+            prefixes: RefCell::default(),
             last_heard: RefCell::default(),
             suspects: RefCell::default(),
             budgets: RefCell::default(),
@@ -293,6 +297,7 @@
         self.pool.expire(now, known);
         self.health.borrow_mut().retain(known);
         self.rate_limits.borrow_mut().expire(now, known);
+        self.prefixes.borrow_mut().expire(now, known);
         self.last_heard.borrow_mut().retain(|id, _| known(id));
         self.suspects.borrow_mut().expire(now);
         self.update_rate_shares();
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -95,6 +95,7 @@
                     self.backoffs.borrow_mut().restart(id, start_key, now);
                     self.rate_limits.borrow_mut().restart(id, start_key, now);
                 }
+                self.forget_prefixes(id);
                 self.pool.close_server(id);
             }
             Change::Draining | Change::Gone | Change::Lapsed => {}
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -79,7 +79,7 @@
         Err(kind) => return Err(Refusal::rejected(kind)),
     };
     let fingerprint = fingerprint(account.as_ref().map(|a| &a.id), head.uri.path(), &body);
-    let features = Feature::of_request(fingerprint, &metadata.shared_parts);
+    let features = Feature::of_request(fingerprint, &metadata.shared_parts());
     Ok(Request {
         metadata: metadata.clone(),
         version: config.version(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod pause;
 pub mod peer;
 pub mod placement;
+pub mod prefix;
 pub mod rate_limit;
 pub mod relay;
 pub mod reservation;
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -15,6 +15,7 @@
 use crate::freshness::Role;
 use crate::health::Outcome;
 use crate::observe::StoreCall;
+use crate::prefix::Reuse;
 
 /// Prefix of the name of each metric family.
 const PREFIX: &str = "kumquattiller_gateway";
@@ -54,6 +55,8 @@
     store_calls: Family<CallLabels, Counter>,
     store_watcher: Gauge,
     ages: Family<Label, Gauge<f64, AtomicU64>>,
+    prefix_reuse: Family<Label, Counter>,
+    prefix_saved: Counter<f64, AtomicU64>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -85,6 +88,8 @@
             store_calls: Family::default(),
             store_watcher: Gauge::default(),
             ages: Family::default(),
+            prefix_reuse: Family::default(),
+            prefix_saved: Counter::default(),
         };
         metrics.register();
         metrics
@@ -110,6 +115,17 @@
             "Streams whose caller left",
             self.callers_disconnected.clone(),
         );
+        registry.register(
+            "prefix_reuse",
+            "Placements of prompts at engines that keep prefixes, by what they reuse",
+            self.prefix_reuse.clone(),
+        );
+        registry.register_with_unit(
+            "prefix_saved",
+            "Expected prefill time saved by the reuse of prefixes",
+            Unit::Seconds,
+            self.prefix_saved.clone(),
+        );
         registry.register("connections", "Connections opened", self.connections.clone());
         registry.register(
             "servers_leaving",
@@ -166,6 +182,12 @@
         self.timer_delay.observe(delay.as_secs_f64());
     }
 
+    /// Counts a placement by what it reuses of the prefixes that servers hold.
+    pub fn prefix_reuse(&self, reuse: &Reuse) {
+        self.prefix_reuse.get_or_create(&[("reuse", reuse.to_string())]).inc();
+        self.prefix_saved.inc_by(reuse.saved_ms() / 1e3);
+    }
+
     /// Counts an admitted request.
     pub fn admitted(&self) {
         self.requests.inc();
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -21,6 +21,7 @@
 use crate::peer::Report;
 use crate::peer::Serial;
 use crate::peer::fetch;
+use crate::prefix;
 use crate::rate_limit;
 use crate::stop::Phase;
 use crate::suspect;
@@ -140,6 +141,7 @@
         forward: false,
         origin: None,
         rate_limits: rate_limits(gateway, now),
+        prefixes: gateway.take_prefix_reports().into_iter().map(Into::into).collect(),
     }
 }
 
@@ -205,6 +207,8 @@
     }
     gateway.mark_reported_unusable_helpers(&report.unusable_helpers);
     apply_rate_limits(gateway, id, &report.rate_limits);
+    let prefixes: Vec<prefix::Report> = report.prefixes.iter().map(Into::into).collect();
+    gateway.merge_prefixes(&prefixes);
     for confirmation in &report.confirmations {
         match confirmation.kind().try_into() {
             Ok(kind) => {
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -5,6 +5,7 @@
 use crate::fleet;
 use crate::freshness;
 use crate::load;
+use crate::peer::Prefix;
 use crate::peer::RateLimit;
 use crate::suspect;
 use crate::suspect::Crash;
@@ -171,6 +172,9 @@
     /// Rate limits of servers that it knows.
     #[prost(message, repeated, tag = "15")]
     pub rate_limits: Vec<RateLimit>,
+    /// Prefixes that it has used most since its last report.
+    #[prost(message, repeated, tag = "20")]
+    pub prefixes: Vec<Prefix>,
 }
 
 /// The state that a daemon sends to a peer that cannot get it from the store.
--- a/crates/gateway/src/relay/dispatch.rs
+++ b/crates/gateway/src/relay/dispatch.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::rc::Rc;
 
 use hyper::StatusCode;
@@ -27,6 +28,8 @@
     /// Memory reservations, released on drop.
     _tickets: Option<Reservations>,
     key: Key,
+    /// Whether part of the response has arrived, so that the server has computed the prompt.
+    prompt_computed: Cell<bool>,
     /// When it was placed.
     pub started: Moment,
 }
@@ -62,6 +65,7 @@
             helpers,
             _tickets: reservations,
             key,
+            prompt_computed: Cell::new(false),
             started: now,
         }
     }
@@ -89,6 +93,9 @@
             ledger.mark_late(self.key);
         }
         drop(ledger);
+        if !self.prompt_computed.replace(true) {
+            self.gateway.record_computed_prompt(&self.request, &self.placement);
+        }
         self.gateway.record_activity(&self.placement.server);
     }
 
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod pause;
 mod peers;
 mod placement;
+mod prefixes;
 mod rate_limit;
 mod rate_shares;
 mod support;
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -99,7 +99,7 @@
                 let choice =
                     cost::pick_lowest(table, request, &self.pace, &weights, cached_prefix, rng);
                 if let Some(choice) = &choice {
-                    self.prefixes.record(&choice.runner, request.prefix_hashes);
+                    self.prefixes.record(&choice.runner, request.prefix_hashes, now);
                 }
                 choice
             }
--- a/crates/routing/tests/views.rs
+++ b/crates/routing/tests/views.rs
@@ -112,7 +112,7 @@
 fn the_index_drops_evicted_prefixes_and_entries_from_before_a_gap() {
     let mut index = Index::default();
     let (one, two): (Id, Id) = ("runner-1".parse().unwrap(), "runner-2".parse().unwrap());
-    index.record(&one, &[1, 2, 3]);
+    index.record(&one, &[1, 2, 3], Moment::ZERO);
     assert_eq!(index.holder(&[1, 2, 3, 4]), Some((&one, prefix::tokens(2))));
     index.record_eviction(&one, &[3]);
     assert_eq!(index.holder(&[1, 2, 3, 4]), Some((&one, prefix::tokens(1))));
@@ -120,6 +120,6 @@
     assert_eq!(index.holder(&[1, 2, 3, 4]), Some((&one, prefix::tokens(1))));
     index.record_gap(&one);
     assert_eq!(index.holder(&[1, 2, 3, 4]), None);
-    index.record(&one, &[1]);
+    index.record(&one, &[1], Moment::ZERO);
     assert_eq!(index.holder(&[1, 2, 3, 4]), Some((&one, prefix::tokens(0))));
 }
