--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod copies;
 mod evacuations;
 mod paces;
+mod prefixes;
 mod queue;
 mod rate_limits;
 mod regions;
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -78,11 +78,13 @@
     /// Fails if the request cannot be placed.
     pub fn place(&self, request: &Request, tried: &[runner::Id]) -> Result<Placement, Declined> {
         let now = self.now();
-        let candidates = self.candidates(request, tried, now);
+        let mut candidates = self.candidates(request, tried, now);
         if candidates.is_empty() && self.is_all_evacuated(request) {
             return Err(Declined::Evacuated);
         }
+        self.add_savings(request, &mut candidates, now);
         let placement = self.choose(request, &candidates, now, CostBound::USUAL)?;
+        self.record_reuse(request, &candidates, &placement, now);
         self.count_against_limits(&placement);
         Ok(placement)
     }
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -41,6 +41,7 @@
 use crate::peer;
 use crate::peer::Document;
 use crate::placement::RAMP_TIME;
+use crate::prefix;
 use crate::queue;
 use crate::rate_limit;
 use crate::settings::Settings;
@@ -86,6 +87,8 @@
     pub(super) rate_limits: RefCell<rate_limit::Table>,
     /// The daemons between which the rates of cold servers are divided.
     pub(super) roster: RefCell<rate_limit::Roster>,
+    /// The prompt prefixes that the servers probably hold.
+    pub(super) prefixes: RefCell<prefix::Table>,
     /// When each server last sent part of a response.
     pub(super) last_heard: RefCell<HashMap<runner::Id, Moment>>,
     pub(super) suspects: RefCell<Suspects>,
@@ -143,6 +146,7 @@
             paces: RefCell::default(),
             rate_limits: RefCell::default(),
             roster: RefCell::default(),
+            prefixes: RefCell::default(),
             last_heard: RefCell::default(),
             suspects: RefCell::default(),
             budgets: RefCell::default(),
@@ -328,6 +332,7 @@
             info!(target: "fleet", server:% = id; "the cold time of the server is over");
         }
         self.rate_limits.borrow_mut().expire(now, known);
+        self.prefixes.borrow_mut().expire(now, known);
         self.last_heard.borrow_mut().retain(|id, _| known(id));
         self.suspects.borrow_mut().expire(now);
         drop(fleet);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod pause;
 pub mod peer;
 pub mod placement;
+pub mod prefix;
 pub mod queue;
 pub mod rate_limit;
 pub mod regions;
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -22,6 +22,7 @@
 use crate::peer::Report;
 use crate::peer::Serial;
 use crate::peer::fetch;
+use crate::prefix;
 use crate::queue::InFlight;
 use crate::rate_limit;
 use crate::stop::Phase;
@@ -146,6 +147,7 @@
         queue: Queue::of(&queue, now),
         accounts: queue.usages.iter().map(Into::into).collect(),
         paces: gateway.pace_reports(),
+        prefixes: gateway.take_prefix_reports().into_iter().map(Into::into).collect(),
     }
 }
 
@@ -217,6 +219,8 @@
     apply_queue(gateway, id, report, now);
     apply_rate_limits(gateway, id, &report.rate_limits);
     gateway.merge_paces(id, &report.paces);
+    let prefixes: Vec<prefix::Report> = report.prefixes.iter().map(Into::into).collect();
+    gateway.merge_prefixes(&prefixes);
     for confirmation in &report.confirmations {
         match confirmation.kind().try_into() {
             Ok(kind) => {
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -7,6 +7,7 @@
 use crate::load;
 use crate::peer::Consumption;
 use crate::peer::Pace;
+use crate::peer::Prefix;
 use crate::peer::Queue;
 use crate::peer::RateLimit;
 use crate::peer::transfer;
@@ -186,6 +187,9 @@
     /// What it has measured of the pace of servers.
     #[prost(message, repeated, tag = "19")]
     pub paces: Vec<Pace>,
+    /// Prefixes that it has used most since its last report.
+    #[prost(message, repeated, tag = "20")]
+    pub prefixes: Vec<Prefix>,
 }
 
 /// The state that a daemon sends to a peer that cannot get it from the store.
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -19,13 +19,16 @@
     pub ramp_cost: f64,
     /// Its pace.
     pub pace: Pace,
+    /// Prefill that the server probably saves for the request, since it still holds the beginning of
+    /// the prompt, in milliseconds.
+    pub saved_ms: f64,
 }
 
 impl Candidate {
     /// Creates a candidate of usual pace from a server's id, load and slots.
     pub fn new(id: runner::Id, load: Load, slots: u32) -> Self {
         let rank = server_key(&id);
-        Self { id, load, slots, rank, ramp_cost: 0.0, pace: Pace::default() }
+        Self { id, load, slots, rank, ramp_cost: 0.0, pace: Pace::default(), saved_ms: 0.0 }
     }
 
     /// Returns the candidate with the cost of its slow start.
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -8,6 +8,7 @@
 mod bound;
 mod candidate;
 mod division;
+mod holder;
 mod joint;
 mod plain;
 mod plan;
--- a/crates/gateway/src/placement/plan.rs
+++ b/crates/gateway/src/placement/plan.rs
@@ -14,6 +14,8 @@
     SmallParts,
     /// The prompt exceeds the memory of one engine and is held by several servers.
     Joint,
+    /// The prompt is long, and the server still holds its beginning.
+    HeldPrefix,
     /// The prompt is long and is placed mainly on servers for long prompts.
     LongDivision,
 }
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -11,6 +11,7 @@
 use crate::placement::Division;
 use crate::placement::Placement;
 use crate::placement::Reason;
+use crate::placement::holder::place_at_holder;
 use crate::placement::joint::place_joint;
 use crate::placement::utility;
 
@@ -130,6 +131,12 @@
         self.profile.prefill_ms(self.prompt.tokens)
     }
 
+    /// Returns the prefill time of the prompt on a server that may still hold its beginning, in
+    /// milliseconds.
+    pub fn prefill_ms_at(&self, candidate: &Candidate) -> f64 {
+        (self.prefill_ms() - candidate.saved_ms).max(0.0)
+    }
+
     /// Returns the memory needed for the prompt and its output.
     pub fn memory(&self) -> Tokens {
         self.prompt.tokens.saturating_add(self.prompt.max_output)
@@ -138,7 +145,7 @@
     /// Returns the cost of running the request on a server that also prefills `part_ms` of it, in
     /// units of request value: late events of its own stream, and the use of the server's
     /// resources.
-    fn cost(&self, candidate: &Candidate, part_ms: f64) -> f64 {
+    pub(super) fn cost(&self, candidate: &Candidate, part_ms: f64) -> f64 {
         let load = &candidate.load;
         let pass_ms = utility::pass_ms(self.profile, candidate, part_ms);
         let value = utility::request_value(self.prompt.tokens);
@@ -171,8 +178,8 @@
     demand: &Demand,
     unreported: f64,
 ) -> Option<Placement> {
-    let prefill_ms = request.prefill_ms();
     let cost = |c: &Candidate| {
+        let prefill_ms = request.prefill_ms_at(c);
         let first_ms = utility::first_event_ms(request.profile, c, prefill_ms);
         request.cost(c, prefill_ms)
             + request.wait_cost(first_ms)
@@ -185,8 +192,9 @@
     let mut costs: Vec<(&Candidate, f64)> = short.chain(long).collect();
     costs.sort_by(|a, b| a.1.total_cmp(&b.1));
     let urgency = utility::first_urgency(request.prompt.tokens, request.target_latency);
-    let prompt_cost = urgency * prefill_ms * MUTUAL_DELAY;
+    let prompt_cost = urgency * request.prefill_ms() * MUTUAL_DELAY;
     let chosen = draw_cheapest(&costs, unreported, prompt_cost)?;
+    let prefill_ms = request.prefill_ms_at(chosen);
     Some(Placement {
         server: chosen.id.clone(),
         helpers: Vec::new(),
@@ -249,6 +257,9 @@
     let arrivals_per_s = demand.short_per_s / division.short.len().max(1) as f64;
     let options = (1..=max_parts)
         .filter_map(|parts| best_with_parts(request, &considered, arrivals_per_s, parts));
+    let servers = division.long.iter().chain(&division.short);
+    let holders = servers.filter(|c| c.saved_ms > 0.0).map(|c| place_at_holder(request, c));
+    let options = options.chain(holders);
     options.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(placement, _)| placement)
 }
 
--- a/crates/gateway/src/relay/dispatch.rs
+++ b/crates/gateway/src/relay/dispatch.rs
@@ -33,6 +33,8 @@
     expected_pass: Cell<Option<Duration>>,
     /// When the last part of the response arrived.
     last_progress: Cell<Option<Moment>>,
+    /// Whether part of the response has arrived, so that the server has computed the prompt.
+    prompt_computed: Cell<bool>,
     /// When it was placed.
     pub started: Moment,
 }
@@ -71,6 +73,7 @@
             key,
             expected_pass: Cell::new(expected_pass),
             last_progress: Cell::new(None),
+            prompt_computed: Cell::new(false),
             started: now,
         }
     }
@@ -100,6 +103,9 @@
         drop(ledger);
         self.gateway.wake_queue();
         self.record_pace();
+        if !self.prompt_computed.replace(true) {
+            self.gateway.record_computed_prompt(&self.request, &self.placement);
+        }
         self.gateway.record_activity(&self.placement.server);
     }
 
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod pause;
 mod peers;
 mod placement;
+mod prefixes;
 mod queue;
 mod rate_limit;
 mod rate_shares;
