--- a/crates/gateway/tests/testsuite/prefixes.rs
+++ b/crates/gateway/tests/testsuite/prefixes.rs
@@ -1,12 +1,20 @@
 //! Beliefs about the prompt prefixes that servers hold, and what reuse saves.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use kumquattiller_base::fingerprint::Fingerprint;
 use kumquattiller_base::runner;
 use kumquattiller_base::size::Tokens;
 use kumquattiller_base::time::Moment;
+use kumquattiller_gateway::dialect::Prompt;
 use kumquattiller_gateway::dialect::PromptPart;
+use kumquattiller_gateway::load::Demand;
+use kumquattiller_gateway::load::Load;
+use kumquattiller_gateway::placement;
+use kumquattiller_gateway::placement::Candidate;
+use kumquattiller_gateway::placement::Placement;
+use kumquattiller_gateway::placement::place_prompt;
 use kumquattiller_gateway::prefix::Copy;
 use kumquattiller_gateway::prefix::MAX_REPORTS;
 use kumquattiller_gateway::prefix::Prefix;
@@ -156,3 +164,101 @@
     table.expire(START + RETENTION, |_| false);
     assert_eq!(table.server_count(), 0);
 }
+
+/// Number of servers that a prompt is placed on.
+const SERVER_COUNT: usize = 12;
+
+/// Servers that each do the given work, in milliseconds; `a` holds a beginning that saves `saved_ms`.
+fn candidates(backlog_ms: impl Fn(usize) -> f64, saved_ms: f64) -> Vec<Candidate> {
+    let candidate = |n: usize| {
+        let load =
+            Load { backlog_ms: backlog_ms(n), unanswered_ms: backlog_ms(n), ..Load::default() };
+        let name = char::from(b'a' + n as u8).to_string();
+        let saved_ms = if n == 0 { saved_ms } else { 0.0 };
+        Candidate { saved_ms, ..Candidate::new(id(&name), load, 16) }
+    };
+    (0..SERVER_COUNT).map(candidate).collect()
+}
+
+fn place(tokens: u64, candidates: &[Candidate]) -> Placement {
+    let prompt = Prompt { tokens: Tokens::new(tokens), max_output: Tokens::new(100) };
+    let request = placement::Request {
+        prompt: &prompt,
+        target_latency: Duration::from_millis(300),
+        target_gap: Duration::from_millis(250),
+        profile: &PROFILE,
+    };
+    place_prompt(&request, candidates, &Demand::default(), 0.0).unwrap()
+}
+
+/// Guards against a beginning that is computed again although its holder is idle.
+#[test]
+fn an_idle_holder_gets_the_prompt() {
+    for tokens in [8_000, 60_000] {
+        let saved_ms = PROFILE.prefill_ms(Tokens::new(tokens * 9 / 10));
+        let placement = place(tokens, &candidates(|_| 0.0, saved_ms));
+        assert_eq!(placement.server, id("a"), "{tokens} tokens");
+        let part_ms = PROFILE.prefill_ms(Tokens::new(tokens)) - saved_ms;
+        assert!((placement.part_ms - part_ms).abs() < 1e-6, "{placement:?}");
+    }
+}
+
+/// Guards against a hot beginning whose requests all wait for one server: what is saved is less
+/// than the wait there.
+#[test]
+fn a_busy_holder_loses_the_prompt_to_an_idle_server() {
+    let saved_ms = PROFILE.prefill_ms(Tokens::new(7_200));
+    let busy_holder = candidates(|n| if n == 0 { 400.0 } else { 0.0 }, saved_ms);
+    assert_ne!(place(8_000, &busy_holder).server, id("a"));
+}
+
+/// Guards against decisions that change on deployments whose engines keep nothing.
+#[test]
+fn without_savings_the_whole_prompt_is_placed_as_before() {
+    for tokens in [8_000, 60_000] {
+        let placement = place(tokens, &candidates(|n| n as f64, 0.0));
+        let parts = placement.helpers.len() + 1;
+        let whole_ms = placement.part_ms * parts as f64;
+        assert!((whole_ms - PROFILE.prefill_ms(Tokens::new(tokens))).abs() < 1e-6);
+        assert_ne!(placement.reason, placement::Reason::HeldPrefix);
+    }
+}
+
+/// Number of requests of a load that shares one beginning, per server.
+const REQUESTS_PER_SERVER: usize = 3;
+
+/// Guards against a hot beginning that stays at one server: with each request that is sent there,
+/// the wait grows until another server costs less, which then holds it as well. When the load has
+/// gone, a request goes to a holder again.
+#[test]
+fn a_hot_beginning_spreads_with_its_load_and_comes_together_again() {
+    let beginning = prompt(&[("hot", 7_200)]);
+    let capacity = Tokens::new(40_000);
+    let mut table = Table::default();
+    table.record(&id("a"), &beginning, capacity, START);
+    let mut servers = candidates(|_| 0.0, 0.0);
+    let mut used = BTreeSet::new();
+    let mut used_at_first = 0;
+    for n in 0..SERVER_COUNT * REQUESTS_PER_SERVER {
+        apply_savings(&table, &beginning, &mut servers);
+        let placement = place(8_000, &servers);
+        table.record(&placement.server, &beginning, capacity, START);
+        let server = servers.iter_mut().find(|c| c.id == placement.server).unwrap();
+        server.load.backlog_ms += placement.part_ms;
+        server.load.unanswered_ms += placement.part_ms;
+        used.insert(placement.server);
+        used_at_first = if n == 0 { used.len() } else { used_at_first };
+    }
+    assert_eq!(used_at_first, 1);
+    assert!(used.len() > 1, "{used:?}");
+    servers.iter_mut().for_each(|c| c.load = Load::default());
+    apply_savings(&table, &beginning, &mut servers);
+    assert!(used.contains(&place(8_000, &servers).server));
+}
+
+fn apply_savings(table: &Table, prefixes: &[Prefix], servers: &mut [Candidate]) {
+    for copy in table.copies(prefixes, START) {
+        let server = servers.iter_mut().find(|c| c.id == copy.server).unwrap();
+        server.saved_ms = copy.saved_ms(&PROFILE, PROFILE.memory);
+    }
+}
