gateway: a Retry-After is not before the time that it stands for

Cause: the header was rounded to the nearest hundredth of a second, so a caller that came back as told could be refused again; and a daemon that had just started stated the time of a share that it did not have yet.

Conclusion: the time is that of one request; it reserves nothing.

--- a/crates/gateway/src/http/reply.rs
+++ b/crates/gateway/src/http/reply.rs
@@ -57,7 +57,7 @@
             Response::new(full(Bytes::from_static(self.kind.response().message.as_bytes())));
         *response.status_mut() = self.status;
         if let Some(after) = self.retry_after {
-            let text = format!("{:.2}", after.as_secs_f64());
+            let text = retry_after_text(after);
             match HeaderValue::from_str(&text) {
                 Ok(value) => _ = response.headers_mut().insert(header::RETRY_AFTER, value),
                 Err(error) => {
@@ -69,6 +69,13 @@
     }
 }
 
+/// Returns the value of a Retry-After header: seconds with two decimals, rounded up, so that callers do
+/// not come back too early.
+fn retry_after_text(after: Duration) -> String {
+    let hundredths = after.as_nanos().div_ceil(10_000_000);
+    format!("{}.{:02}", hundredths / 100, hundredths % 100)
+}
+
 /// Returns a body with the given content.
 pub fn full(bytes: Bytes) -> Body {
     Box::pin(Full::new(bytes).map_err(|never| match never {}))
--- a/crates/gateway/src/rate_limit/cold.rs
+++ b/crates/gateway/src/rate_limit/cold.rs
@@ -23,6 +23,9 @@
 /// that responses and reports take.
 const CONFIRMED_DIFFERENCE: Duration = Duration::from_millis(500);
 
+/// Longest interval at which shares are determined again.
+const MAX_UPDATE_INTERVAL: Duration = Duration::from_millis(300);
+
 /// What a share was determined from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Basis {
@@ -45,6 +48,8 @@
     /// Whether the end of the cold state is still to be told to the log.
     is_end_due: bool,
     basis: Option<Basis>,
+    /// When this daemon has its share at the latest, as far as known.
+    settled_by: Moment,
     /// The share of a daemon that has one, whether or not this one does.
     usual_share: Option<Rate>,
     allowance: Allowance,
@@ -60,6 +65,7 @@
             is_own: false,
             is_end_due: false,
             basis: None,
+            settled_by: Moment::ZERO,
             usual_share: None,
             allowance: Allowance::empty(now),
         }
@@ -127,6 +133,10 @@
         let Terms { rate, bound, join_delay } = terms;
         let is_settled = roster.is_settled(join_delay, now);
         let basis = Basis { rate, generation: roster.generation(), is_settled };
+        self.settled_by = match is_settled {
+            true => now,
+            false => roster.settles_at(join_delay, now) + MAX_UPDATE_INTERVAL,
+        };
         if self.basis == Some(basis) {
             return;
         }
@@ -166,7 +176,8 @@
         if !self.binds(now) {
             return Duration::ZERO;
         }
-        let elsewhere = || self.usual_share.map(|share| share.time_for(1.0));
+        let until_settled = self.settled_by.since(now);
+        let elsewhere = || self.usual_share.map(|share| until_settled + share.time_for(1.0));
         let in_share = self.allowance.time_left(now).or_else(elsewhere);
         let beginning = MAX_SEND_DELAY.saturating_sub(now.since(self.since));
         in_share.unwrap_or(Duration::MAX).max(beginning).min(self.left(now))
--- a/crates/gateway/src/rate_limit/mod.rs
+++ b/crates/gateway/src/rate_limit/mod.rs
@@ -10,11 +10,11 @@
 //! Shares begin empty and views of the fleet may differ for a while: a daemon waits for the reports
 //! of its peers before it takes a share, and loses what it has saved when it is no longer chosen.
 //!
-//! A server that starts cold tolerates a rate that its service states ([`Cold`](Origin), until a
-//! time). Here, the bound holds over every second and over daemons that hear nothing of one another,
-//! at loads of a few requests a second for each server. Therefore the rate is divided between all
-//! daemons that are or were known ([`Roster`]), whether or not they use the server, by [`Division`].
-//! If both limits of a server hold, a request has to be within both.
+//! A server that starts cold tolerates a rate that its service states, until a time. Its bound holds
+//! over every second and over daemons that hear nothing of one another, at loads of a few requests a
+//! second for each server. Therefore the rate is divided between all daemons that are or were known
+//! ([`Roster`]), whether or not they use the server, by [`Division`]. If both limits of a server
+//! hold, a request has to be within both.
 
 mod allowance;
 mod bucket;
--- a/crates/gateway/src/rate_limit/roster.rs
+++ b/crates/gateway/src/rate_limit/roster.rs
@@ -51,6 +51,11 @@
         self.begun_at.is_some_and(|at| now.since(at) >= join_delay)
     }
 
+    /// Returns when the daemons will have been known for `join_delay`.
+    pub(super) fn settles_at(&self, join_delay: Duration, now: Moment) -> Moment {
+        self.begun_at.unwrap_or(now) + join_delay
+    }
+
     /// Returns the number of daemons, including this one.
     pub fn daemons(&self) -> usize {
         self.members.len() + 1
