--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod rate_limit;
 mod rate_shares;
 mod replay;
+mod shapes;
 mod support;
 mod suspects;
 mod uneven;
--- a/crates/gateway/tests/testsuite/replay/fleet.rs
+++ b/crates/gateway/tests/testsuite/replay/fleet.rs
@@ -14,6 +14,7 @@
 use kumquattiller_gateway::pace;
 use kumquattiller_gateway::placement::Candidate;
 use kumquattiller_gateway::placement::Placement;
+use kumquattiller_gateway::placement::Reason;
 use kumquattiller_gateway::placement::Request;
 use kumquattiller_gateway::placement::first_urgency;
 use kumquattiller_gateway::placement::is_long;
@@ -41,6 +42,8 @@
     engines: Vec<Engine>,
     /// Factor by which each engine is slower than its profile.
     pub paces: Vec<f64>,
+    /// Whether each request goes to the server with the least work instead.
+    pub least_work: bool,
     ledgers: Vec<Ledger>,
     measured: Vec<pace::Table>,
     report_at: Vec<u64>,
@@ -58,6 +61,7 @@
             servers: (0..engines).map(|n| format!("server-{n}").parse().unwrap()).collect(),
             engines: (0..engines).map(|_| Engine::default()).collect(),
             paces: vec![1.0; engines],
+            least_work: false,
             ledgers: (0..daemons).map(|_| Ledger::default()).collect(),
             measured: (0..daemons).map(|_| pace::Table::default()).collect(),
             report_at: (0..daemons as u64).map(|n| n * 4).collect(),
@@ -98,7 +102,8 @@
             self.ledgers[daemon].record_demand(long_ms, !long, now);
         }
         let Some(placement) = self.place(daemon, kind, &prompt) else {
-            self.outcomes.push(Outcome { kind, arrived_ms: self.now_ms, times: None });
+            let value = request_value(prompt.tokens);
+            self.outcomes.push(Outcome { kind, arrived_ms: self.now_ms, value, times: None });
             return;
         };
         let job = self.next;
@@ -149,6 +154,19 @@
             Candidate { pace: self.measured[daemon].pace(n as u64), ..candidate }
         };
         let candidates: Vec<Candidate> = self.servers.iter().enumerate().map(candidate).collect();
+        if self.least_work {
+            let work = |c: &&Candidate| (c.load.unanswered_ms * 1e3) as u64;
+            let least = candidates.iter().min_by_key(work)?;
+            let part_ms = self.profile.prefill_ms(prompt.tokens);
+            return (!needs_joint(prompt, &self.profile)).then(|| Placement {
+                server: least.id.clone(),
+                helpers: Vec::new(),
+                holders: Vec::new(),
+                part_ms,
+                first_ms: least.load.unanswered_ms + part_ms,
+                reason: Reason::FewestRequests,
+            });
+        }
         let request = Request {
             prompt,
             target_latency: kind.target_latency(),
--- a/crates/gateway/tests/testsuite/replay/job.rs
+++ b/crates/gateway/tests/testsuite/replay/job.rs
@@ -3,6 +3,7 @@
 use kumquattiller_base::size::Tokens;
 use kumquattiller_gateway::dialect::Prompt;
 use kumquattiller_gateway::load::Key;
+use kumquattiller_gateway::placement::request_value;
 use rand::Rng;
 use rand::RngExt;
 
@@ -54,6 +55,8 @@
 pub struct Outcome {
     pub kind: Kind,
     pub arrived_ms: u64,
+    /// Value of the response if it is on time.
+    pub value: f64,
     /// Time of the first event and longest gap in milliseconds, or `None` if it was refused.
     pub times: Option<(u64, u64)>,
 }
@@ -101,6 +104,11 @@
 
     pub fn outcome(&self) -> Outcome {
         let times = self.first_ms.map(|first_ms| (first_ms + CALLER_DELAY_MS, self.longest_gap_ms));
-        Outcome { kind: self.kind, arrived_ms: self.arrived_ms, times }
+        Outcome {
+            kind: self.kind,
+            arrived_ms: self.arrived_ms,
+            value: request_value(self.prompt.tokens),
+            times,
+        }
     }
 }
