routing: a request placed without a wait is counted as placed at once

Cause: the time of a memory reservation passed between arrival and placement, so that the reason was always that of a wait. Change: the queue remembers whether it told the request to wait. Conclusion: the outcome counter tells waits apart.

--- a/crates/routing/src/queue/state.rs
+++ b/crates/routing/src/queue/state.rs
@@ -116,6 +116,14 @@
 
     /// Decides what a waiting request does now.
     pub fn turn(&mut self, key: Key, now: Moment) -> Turn {
+        let turn = self.decide(key, now);
+        if let Some(waiting) = self.waiting.get_mut(&key) {
+            waiting.waited |= matches!(turn, Turn::Wait { .. });
+        }
+        turn
+    }
+
+    fn decide(&mut self, key: Key, now: Moment) -> Turn {
         let Some(waiting) = self.waiting.get(&key).filter(|w| !w.displaced) else {
             return Turn::Refuse(Reason::Full);
         };
@@ -168,10 +176,7 @@
             self.count_served(&waiting.entry, now);
         }
         self.update_shares(now);
-        match waiting.shortage.is_none() && now == waiting.since {
-            true => Reason::Placed,
-            false => Reason::PlacedAfterWait,
-        }
+        if waiting.waited { Reason::PlacedAfterWait } else { Reason::Placed }
     }
 
     /// Removes a request whose caller has left or that is refused without a promise.
--- a/crates/routing/src/queue/waiting.rs
+++ b/crates/routing/src/queue/waiting.rs
@@ -24,6 +24,8 @@
     pub displaced: bool,
     /// Whether it has had its last try.
     pub exhausted: bool,
+    /// Whether it has been told to wait.
+    pub waited: bool,
     /// What the servers lacked when it was last tried.
     pub shortage: Option<Shortage>,
     /// Whether the servers may have room since then.
@@ -42,6 +44,7 @@
             promised,
             displaced: false,
             exhausted: false,
+            waited: false,
             shortage: None,
             woken: true,
             retry_at: now,
