--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -48,6 +48,7 @@
 use crate::stop::Phase;
 use crate::stop::Stop;
 use crate::suspect::Suspects;
+use crate::unread;
 
 /// Interval at which expired state is removed.
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(250);
@@ -104,6 +105,8 @@
     pub(super) pool: Pool,
     /// Memory for the bodies of responses that are being read.
     response_memory: ResponseMemory,
+    /// Responses that callers have not read yet.
+    unread: Rc<unread::Memory>,
     pub(super) metrics: Metrics,
     pub(super) stop: Cell<Stop>,
     pub(super) phase: watch::Sender<Phase>,
@@ -121,6 +124,9 @@
         if !settings.cold_bound.is_valid() {
             warn!(target: "process", bound:? = settings.cold_bound; "ignored an invalid cold bound");
         }
+        let metrics = Metrics::default();
+        let budget = settings.unread_budget();
+        let unread = Rc::new(unread::Memory::new(budget, metrics.slow_callers()));
         Self {
             clock: Clock::start(),
             stop: Cell::new(Stop::new(settings.grace)),
@@ -158,7 +164,8 @@
             queue: queue::Shared::default(),
             pool: Pool::default(),
             response_memory: ResponseMemory::default(),
-            metrics: Metrics::default(),
+            unread,
+            metrics,
             phase: watch::Sender::new(Phase::Serving),
         }
     }
@@ -223,6 +230,11 @@
         &self.response_memory
     }
 
+    /// Returns the responses that callers have not read yet.
+    pub const fn unread(&self) -> &Rc<unread::Memory> {
+        &self.unread
+    }
+
     /// Returns the metrics.
     pub const fn metrics(&self) -> &Metrics {
         &self.metrics
@@ -351,6 +363,7 @@
             in_flight: self.ledger.borrow().len(),
             evacuated_zones: self.evacuations.borrow().zones().len(),
             waiting: self.queue.queue().borrow().len(),
+            unread: self.unread.used(),
             rate_limited: self.rate_limits.borrow().limited(),
             cold: self.rate_limits.borrow().cold(self.now()),
             role: self.role.get(),
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use kumquattiller_base::error;
+use kumquattiller_base::size::Bytes;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -41,6 +42,8 @@
     retries: Counter,
     streams_interrupted: Counter,
     callers_disconnected: Counter,
+    slow_callers: Counter,
+    unread: Gauge,
     connections: Counter,
     servers_leaving: Counter,
     servers_paused: Counter,
@@ -79,6 +82,8 @@
             retries: Counter::default(),
             streams_interrupted: Counter::default(),
             callers_disconnected: Counter::default(),
+            slow_callers: Counter::default(),
+            unread: Gauge::default(),
             connections: Counter::default(),
             servers_leaving: Counter::default(),
             servers_paused: Counter::default(),
@@ -136,6 +141,17 @@
             Unit::Seconds,
             self.prefix_saved.clone(),
         );
+        registry.register(
+            "slow_callers_cut_off",
+            "Responses that were cut off because their callers read too slowly",
+            self.slow_callers.clone(),
+        );
+        registry.register_with_unit(
+            "unread",
+            "Parts of responses that callers have not read yet",
+            Unit::Bytes,
+            self.unread.clone(),
+        );
         registry.register("connections", "Connections opened", self.connections.clone());
         registry.register(
             "servers_leaving",
@@ -240,6 +256,11 @@
         self.callers_disconnected.inc();
     }
 
+    /// Returns the counter of responses that were cut off because their callers read too slowly.
+    pub fn slow_callers(&self) -> Counter {
+        self.slow_callers.clone()
+    }
+
     /// Counts a new connection to a server.
     pub fn connection_opened(&self) {
         self.connections.inc();
@@ -294,6 +315,7 @@
         self.in_flight.set(state.in_flight as i64);
         self.evacuated_zones.set(state.evacuated_zones as i64);
         self.queue.set_length(state.waiting);
+        self.unread.set(state.unread.get() as i64);
         self.rate_limited.set(state.rate_limited as i64);
         self.cold.set(state.cold as i64);
         self.store_watcher.set(i64::from(state.role == Some(Role::Watcher)));
@@ -324,6 +346,8 @@
     pub evacuated_zones: usize,
     /// Requests that wait to be placed.
     pub waiting: usize,
+    /// Parts of responses that callers have not read yet.
+    pub unread: Bytes,
     /// Servers that state a rate limit.
     pub rate_limited: usize,
     /// Servers that are cold.
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -26,3 +26,4 @@
 mod support;
 mod suspects;
 mod uneven;
+mod unread;
