gateway, routing: large prompts wait and return without harm to the others

Change: the usual cost bound holds in the queue, a promised prompt may cost what it would lose by being late, lack of room alone is promised, and a refusal without a promise states the longest Retry-After that callers honour.

--- a/crates/gateway/src/gateway/queue.rs
+++ b/crates/gateway/src/gateway/queue.rs
@@ -98,9 +98,8 @@
             }
         }
         let bound = match patience {
-            Patience::Waited(fraction) => CostBound::Gain(fraction),
-            Patience::Exhausted => CostBound::Gain(1.0),
-            Patience::Promised => CostBound::Unlimited,
+            Patience::Waited(_) | Patience::Exhausted => CostBound::USUAL,
+            Patience::Promised => CostBound::Gain(1.0),
         };
         let placement = self.choose(request, &candidates, now, bound)?;
         self.count_against_limits(&placement);
--- a/crates/routing/src/queue/state.rs
+++ b/crates/routing/src/queue/state.rs
@@ -196,7 +196,9 @@
         let room_in = room_in.max(before.div_f64(PROMISED_FRACTION));
         let retry_after = room_in.min(longest);
         let due = now + retry_after;
-        let can_be_served = room_in <= longest && due < entry.latest_start;
+        // A prompt that costs others too much may do so again: room can be kept for it, but not quiet.
+        let lacked_room = waiting.shortage != Some(Shortage::Cost);
+        let can_be_served = lacked_room && room_in <= longest && due < entry.latest_start;
         let promised = can_be_served && !waiting.promised && !place.over_share;
         if promised {
             self.promises.add(Promise {
@@ -210,6 +212,8 @@
             self.count_served(&entry, now);
         }
         self.remove(key);
+        // Most callers return once, so that a return into the same shortage would be the last one.
+        let retry_after = if promised { retry_after } else { longest };
         Some(Refusal { retry_after, promised })
     }
 
