gateway, routing: what a reading of the whole change as a newcomer found

Cause: the log lines of the queue looked up an entry that was removed (wait_ms 0, returned false); prefixes reported by peers broke the order of last use; names and comments that stop a reader; duplicated arithmetic of paces. Change: these, and the module documents.

--- a/crates/gateway/src/gateway/candidates.rs
+++ b/crates/gateway/src/gateway/candidates.rs
@@ -13,8 +13,9 @@
 use crate::placement::ramp_cost;
 
 impl Gateway {
-    /// Returns the servers that may get a request: none outside its regions, whose zone is evacuated, that
-    /// has asked for a pause or has reached its rate limit. Failing servers are included only if no other is left.
+    /// Returns the servers that may get a request. Excluded are servers outside its regions or in an
+    /// evacuated zone, cold ones and those that have asked for a pause or have reached their rate
+    /// limit. Failing servers are included only if no other is left.
     pub(super) fn candidates(
         &self,
         request: &Request,
@@ -40,8 +41,8 @@
         let describe = |s: &Server| {
             let load = load(s);
             let ramp_cost = ramp(s, load.requests);
-            let candidate = Candidate::new(s.id.clone(), load, s.slots).with_ramp_cost(ramp_cost);
-            Candidate { pace: paces.pace(s.start_key()), ..candidate }
+            let pace = paces.pace(s.start_key());
+            Candidate { ramp_cost, pace, ..Candidate::new(s.id.clone(), load, s.slots) }
         };
         usable.into_iter().map(describe).collect()
     }
@@ -55,7 +56,7 @@
 
     /// Returns why nothing may be sent to a server now, also if it was chosen before; `None` if it
     /// may get requests.
-    pub fn withheld(&self, server: &Server) -> Option<Exclusion> {
+    pub(super) fn withheld(&self, server: &Server) -> Option<Exclusion> {
         self.exclusion(server, self.now())
     }
 
--- a/crates/gateway/src/gateway/cold.rs
+++ b/crates/gateway/src/gateway/cold.rs
@@ -22,7 +22,7 @@
 
 /// A registration that states something new of a server's incarnation or cold state.
 #[derive(Debug, Clone)]
-pub(super) struct News {
+pub(super) struct ColdRegistration {
     server: fleet::Server,
     /// Whether the incarnation is new.
     has_started: bool,
@@ -32,24 +32,24 @@
     /// Returns the servers whose registrations state something new of an incarnation or its cold
     /// state. To be called before the registrations are applied. A registration that states the same
     /// as before is an old statement.
-    pub(super) fn news_of_cold<'a>(
+    pub(super) fn new_cold_registrations<'a>(
         &self,
         servers: impl Iterator<Item = &'a fleet::Server>,
-    ) -> Vec<News> {
+    ) -> Vec<ColdRegistration> {
         let fleet = self.fleet.borrow();
         let news = |s: &fleet::Server| {
             let known = fleet.server(&s.id).filter(|known| known.started_ms == s.started_ms);
             let is_news = known.is_none_or(|known| known.cold_left != s.cold_left);
             let has_started = known.is_none();
-            is_news.then(|| News { server: s.clone(), has_started })
+            is_news.then(|| ColdRegistration { server: s.clone(), has_started })
         };
         servers.filter_map(news).collect()
     }
 
     /// Applies what new registrations state of the cold state of their servers. An incarnation that
     /// states no cold time is cold for the time that its service states, from its start.
-    pub(super) fn apply_cold_registrations(&self, news: &[News]) {
-        for News { server, has_started } in news {
+    pub(super) fn apply_cold_registrations(&self, news: &[ColdRegistration]) {
+        for ColdRegistration { server, has_started } in news {
             let left = match server.cold_left.is_zero() && *has_started {
                 true => self.left_after_start(server, self.fleet_loaded.get()),
                 false => server.cold_left,
@@ -120,7 +120,7 @@
         let age_ms = age.as_millis() as u64;
         if left > MAX_COLD_TIME {
             let limit_s = MAX_COLD_TIME.as_secs();
-            warn!(target: "fleet", server:% = server.id, left:?, limit_s, source; "cold time cut");
+            warn!(target: "fleet", server:% = server.id, left:?, limit_s, source; "cold time reduced to the limit");
         }
         let (start_key, now) = (server.start_key(), self.now());
         let mut limits = self.rate_limits.borrow_mut();
--- a/crates/gateway/src/gateway/copies.rs
+++ b/crates/gateway/src/gateway/copies.rs
@@ -128,7 +128,7 @@
     /// Replaces the backend servers by a complete list.
     fn replace_servers(&self, objects: &[Change]) {
         let servers: Vec<fleet::Server> = objects.iter().filter_map(Change::server).collect();
-        let news = self.news_of_cold(servers.iter());
+        let news = self.new_cold_registrations(servers.iter());
         let effects = self.fleet.borrow_mut().replace(servers, self.now());
         for (id, effect) in effects {
             self.apply_server_change(&id, effect);
--- a/crates/gateway/src/gateway/evacuations.rs
+++ b/crates/gateway/src/gateway/evacuations.rs
@@ -71,7 +71,7 @@
 
     /// Returns why a request must not be sent with these helpers, also if they were chosen before;
     /// `None` if it may.
-    pub fn withheld_helper(&self, helpers: &[Helper]) -> Option<Exclusion> {
+    pub(super) fn withheld_helper(&self, helpers: &[Helper]) -> Option<Exclusion> {
         let fleet = self.fleet.borrow();
         let servers = helpers.iter().filter_map(|h| fleet.server(fleet.at(h.address)?));
         servers.into_iter().any(|s| self.is_evacuated(s)).then_some(Exclusion::Evacuated)
--- a/crates/gateway/src/gateway/queue.rs
+++ b/crates/gateway/src/gateway/queue.rs
@@ -29,7 +29,8 @@
 use crate::placement::request_value;
 use crate::queue::Shared;
 
-/// Fraction of its target latency for which a request waits for room on the servers.
+/// Fraction of its target latency for which a request waits for room on the servers. The rest is
+/// for its prefill, which takes longer on busy servers.
 const WAIT_FRACTION: f64 = 0.35;
 /// Multiple of the prefill time of its part that a prompt needs on a server that computes other
 /// prompts at the same time.
@@ -66,7 +67,7 @@
             value: request_value(prompt.tokens),
             body: Bytes::new(request.body.len() as u64),
             in_time_until: request.arrived + request.route.target_latency.mul_f64(WAIT_FRACTION),
-            latest_start: request.deadline - run_time.min(request.time_left(Moment::ZERO)),
+            latest_start: request.deadline - run_time,
             deadline: request.deadline,
         })
     }
--- a/crates/gateway/src/gateway/updates.rs
+++ b/crates/gateway/src/gateway/updates.rs
@@ -82,7 +82,7 @@
         for server in servers {
             match fleet::Server::try_from(server) {
                 Ok(server) => {
-                    let news = self.news_of_cold(std::iter::once(&server));
+                    let news = self.new_cold_registrations(std::iter::once(&server));
                     self.fleet.borrow_mut().put(server);
                     self.apply_cold_registrations(&news);
                 }
@@ -95,7 +95,7 @@
 
     /// Adds or updates the registration of a server.
     pub(super) fn put_server(&self, server: fleet::Server) {
-        let news = self.news_of_cold(std::iter::once(&server));
+        let news = self.new_cold_registrations(std::iter::once(&server));
         let id = server.id.clone();
         let effect = self.fleet.borrow_mut().put(server);
         self.apply_server_change(&id, effect);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,15 +6,18 @@
 //! servers. This package does the rest:
 //!
 //! - decisions without I/O: [`config`] (routes, client accounts, versions), [`fleet`] (which
-//!   servers may get work), [`evacuation`] (zones that get nothing new), [`regions`] (where a request may run), [`freshness`] (how old the copies of the store are), [`changes`] (what
+//!   servers may get work), [`evacuation`] (zones that get nothing new), [`regions`] (where a
+//!   request may run), [`freshness`] (how old the copies of the store are), [`changes`] (what
 //!   the copies lack), [`engine`] (prefill times of prompts), [`load`] (requests in flight per
-//!   server), [`placement`] (choice of server and helpers, or a refusal), [`budget`] (retries),
-//!   [`health`] (failing servers), [`backoff`] (pauses that servers ask for), [`rate_limit`] (rates that they state), [`pace`] (how fast they are), [`suspect`] (requests that crash servers), [`events`] (splitting
+//!   server), [`prefix`] (prompt beginnings that servers still hold), [`placement`] (choice of
+//!   server and helpers, or a refusal), [`budget`] (retries), [`health`] (failing servers),
+//!   [`backoff`] (pauses that servers ask for), [`rate_limit`] (rates that they state), [`pace`]
+//!   (how fast they are), [`suspect`] (requests that crash servers), [`events`] (splitting
 //!   streams into events), [`stop`] (phases of a graceful stop), [`pause`] (times in which the
-//!   process did not run), [`unread`] (what slow callers have not read);
-//! - I/O: [`queue`] (prompts that wait for room), [`http`] (the listener, connections to servers, handling of a request), [`relay`]
-//!   (streams), [`reservation`] (server memory reserved for large prompts), [`peer`] (reports
-//!   between daemons), [`observe`] (logs and metrics).
+//!   process did not run), [`unread`] (responses that callers have not read yet);
+//! - I/O: [`queue`] (prompts that wait for room), [`http`] (the listener, connections to servers,
+//!   handling of a request), [`relay`] (streams), [`reservation`] (server memory reserved for
+//!   large prompts), [`peer`] (reports between daemons), [`observe`] (logs and metrics).
 //!
 //! A request is admitted and placed in [`http`]. Each attempt to send it to a server is a
 //! [`relay::Dispatch`], which counts in [`load`] until it ends. A streaming response continues in
--- a/crates/gateway/src/pace/mod.rs
+++ b/crates/gateway/src/pace/mod.rs
@@ -1,7 +1,6 @@
 //! Pace of the backend servers: by what factor each is slower than the others.
 //!
-//! Answers servers of one service that differ in speed, or are slow by a factor for some seconds. A
-//! [`Table`] compares the times that this daemon's requests were expected to take with those that
+//! Servers of one service may differ in speed, permanently or for some seconds. A [`Table`] compares the times that this daemon's requests were expected to take with those that
 //! they took. It is relative to the median, so that nobody is avoided where all servers are slow.
 //! Daemons tell each other what they have measured. A pace belongs to one incarnation of a server
 //! and is forgotten after some seconds without requests.
--- a/crates/gateway/src/peer/fetch.rs
+++ b/crates/gateway/src/peer/fetch.rs
@@ -70,8 +70,8 @@
     Ok(Document::decode(frame)?)
 }
 
-/// Sends the configuration, the backend servers and the evacuations to each peer that connects, until the process
-/// exits.
+/// Sends the configuration, the backend servers and the evacuations to each peer that connects,
+/// until the process exits.
 ///
 /// # Errors
 ///
--- a/crates/gateway/src/placement/candidate.rs
+++ b/crates/gateway/src/placement/candidate.rs
@@ -40,4 +40,9 @@
     pub fn backlog_ms(&self) -> f64 {
         self.load.backlog_ms * self.pace.factor()
     }
+
+    /// Returns the time until it has prefilled its backlog and a part, in milliseconds.
+    pub fn part_end_ms(&self, part_ms: f64) -> f64 {
+        self.backlog_ms() + part_ms * self.pace.factor()
+    }
 }
--- a/crates/gateway/src/placement/holder.rs
+++ b/crates/gateway/src/placement/holder.rs
@@ -8,7 +8,7 @@
 /// cost. Helpers would compute their parts anew, so that splitting the prompt would save nothing.
 pub(super) fn place_at_holder(request: &Request<'_>, holder: &Candidate) -> (Placement, f64) {
     let part_ms = request.prefill_ms_at(holder);
-    let first_ms = holder.backlog_ms() + part_ms * holder.pace.factor();
+    let first_ms = holder.part_end_ms(part_ms);
     let cost = request.wait_cost(first_ms)
         + request.cost(holder, part_ms)
         + participant_cost(request, holder, part_ms);
--- a/crates/gateway/src/placement/joint.rs
+++ b/crates/gateway/src/placement/joint.rs
@@ -184,5 +184,5 @@
 
 /// Returns the expected time until all participants have prefilled their parts, in milliseconds.
 fn first_ms(participants: &[&Candidate], part_ms: f64) -> f64 {
-    participants.iter().map(|c| c.backlog_ms() + part_ms * c.pace.factor()).fold(0.0, f64::max)
+    participants.iter().map(|c| c.part_end_ms(part_ms)).fold(0.0, f64::max)
 }
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -309,8 +309,7 @@
     participants.truncate(parts);
     let own_costs = participants.iter().map(|(c, _)| (*c, request.cost(c, part_ms) + jitter()));
     let (first, _) = own_costs.min_by(|a, b| a.1.total_cmp(&b.1))?;
-    let part_end_ms = |c: &Candidate| c.backlog_ms() + part_ms * c.pace.factor();
-    let first_ms = participants.iter().map(|(c, _)| part_end_ms(c)).fold(0.0, f64::max);
+    let first_ms = participants.iter().map(|(c, _)| c.part_end_ms(part_ms)).fold(0.0, f64::max);
     let participants_cost: f64 = participants.iter().map(|(_, cost)| cost).sum();
     let cost = request.wait_cost(first_ms) + request.cost(first, part_ms) + participants_cost;
     let helpers = participants.iter().filter(|(c, _)| c.id != first.id).map(|(c, _)| c.id.clone());
--- a/crates/gateway/src/prefix/cache.rs
+++ b/crates/gateway/src/prefix/cache.rs
@@ -21,11 +21,13 @@
 
 impl Cache {
     /// Records the use of a prefix. Returns the hashes of the prefixes that the server has given up
-    /// for it: those used least recently, until the rest fits into `capacity`.
-    pub(super) fn record(&mut self, prefix: Prefix, capacity: Tokens, now: Moment) -> Vec<u64> {
+    /// for it: those used least recently, until the rest fits into `capacity`. `used_at` may lie in the
+    /// past, for a use that a peer reports.
+    pub(super) fn record(&mut self, prefix: Prefix, capacity: Tokens, used_at: Moment) -> Vec<u64> {
         self.remove(prefix.hash);
         self.held = self.held.saturating_add(prefix.added);
-        self.entries.push_back(Entry { prefix, used_at: now });
+        let position = self.entries.partition_point(|e| e.used_at <= used_at);
+        self.entries.insert(position, Entry { prefix, used_at });
         let mut evicted = Vec::new();
         while self.held > capacity && self.entries.len() > 1 {
             evicted.extend(self.pop());
--- a/crates/gateway/src/prefix/mod.rs
+++ b/crates/gateway/src/prefix/mod.rs
@@ -1,9 +1,8 @@
 //! Reuse of prompt prefixes that servers still hold.
 //!
 //! An engine that keeps the KV memory of finished requests answers a prompt sooner if it has computed
-//! the beginning of that prompt before. This package answers loads in which many requests share
-//! beginnings, such as long sessions or common instructions: for each request, [`Table::copies`]
-//! says which servers probably hold a beginning of it, and [`Copy::saved_ms`] how much prefill that
+//! the beginning of that prompt before. Many requests may share beginnings, such as long sessions
+//! or common instructions. For each request, [`Table::copies`] says which servers probably hold a beginning of it, and [`Copy::saved_ms`] how much prefill that
 //! saves. Placement weighs this against everything else that a server costs, so a loaded server loses
 //! the requests that share a prefix to others, which then hold it as well.
 //!
--- a/crates/gateway/src/prefix/table.rs
+++ b/crates/gateway/src/prefix/table.rs
@@ -49,8 +49,8 @@
             if !self.store(server, *prefix, capacity, now) {
                 break;
             }
-            if self.uses.len() < MAX_COUNTED {
-                let key = (server.clone(), prefix.hash);
+            let key = (server.clone(), prefix.hash);
+            if self.uses.len() < MAX_COUNTED || self.uses.contains_key(&key) {
                 self.uses.entry(key).or_insert(Use { prefix: *prefix, count: 0 }).count += 1;
             }
         }
--- a/crates/gateway/src/queue/ticket.rs
+++ b/crates/gateway/src/queue/ticket.rs
@@ -22,14 +22,27 @@
     key: Key,
     is_open: bool,
     has_waited: bool,
+    /// Whether the request was promised to be served when it arrived.
+    is_returned: bool,
 }
 
 impl Ticket {
     /// Adds a request to the queue; `id` is for the log.
     pub fn new(gateway: &Rc<Gateway>, id: &str, entry: Entry) -> Self {
-        let key = gateway.queue().queue().borrow_mut().arrive(entry, gateway.now());
+        let mut queue = gateway.queue().queue().borrow_mut();
+        let key = queue.arrive(entry, gateway.now());
+        let is_returned = queue.is_promised(key);
+        drop(queue);
         let gateway = gateway.clone();
-        Self { gateway, id: id.to_owned(), entry, key, is_open: true, has_waited: false }
+        Self {
+            gateway,
+            id: id.to_owned(),
+            entry,
+            key,
+            is_open: true,
+            has_waited: false,
+            is_returned,
+        }
     }
 
     /// Returns what the request does now.
@@ -37,7 +50,7 @@
         self.gateway.queue().queue().borrow_mut().turn(self.key, self.gateway.now())
     }
 
-    /// Records that the servers had no room. `room_in` is when they are expected to have some.
+    /// Records that the servers had no room. `room_in` is the expected time until they have some.
     pub fn declined(&mut self, declined: Declined, room_in: Duration) {
         let shortage = match declined {
             Declined::TooCostly { .. } => Shortage::Cost,
@@ -46,7 +59,7 @@
         let now = self.gateway.now();
         self.gateway.queue().queue().borrow_mut().declined(self.key, shortage, room_in, now);
         if !std::mem::replace(&mut self.has_waited, true) {
-            self.log("request waits", declined, None);
+            self.log("request waits", declined, self.wait(), None);
             self.gateway.request_report();
         }
     }
@@ -58,7 +71,7 @@
             self.gateway.queue().queue().borrow_mut().admitted(self.key, self.gateway.now());
         self.is_open = false;
         if self.has_waited {
-            self.log("request left the queue", reason, None);
+            self.log("request left the queue", reason, wait, None);
         }
         self.finish(reason, wait);
     }
@@ -71,7 +84,7 @@
             Reason::Stopping => None,
             _ => self.gateway.queue().queue().borrow_mut().refuse(self.key, room_in, now),
         };
-        self.log("request refused by the queue", reason, refusal);
+        self.log("request refused by the queue", reason, wait, refusal);
         self.close();
         self.finish(reason, wait);
         refusal
@@ -95,15 +108,21 @@
         self.gateway.queue().notify();
     }
 
-    fn log(&self, message: &str, reason: impl std::fmt::Display, refusal: Option<Refusal>) {
+    fn log(
+        &self,
+        message: &str,
+        reason: impl std::fmt::Display,
+        wait: Duration,
+        refusal: Option<Refusal>,
+    ) {
         let (queue, now) = (self.gateway.queue().queue().borrow(), self.gateway.now());
-        let wait_ms = queue.wait(self.key, now).as_millis() as u64;
+        let wait_ms = wait.as_millis() as u64;
         let left_ms = self.entry.deadline.since(now).as_millis() as u64;
         let retry_ms = refusal.map_or(0, |r| r.retry_after.as_millis() as u64);
         info!(
             target: "queue", id = self.id, reason:%, urgency:% = self.entry.urgency,
             tokens:% = self.entry.footprint, wait_ms, left_ms, waiting = queue.len(),
-            returned = queue.is_promised(self.key), promised = refusal.is_some_and(|r| r.promised),
+            returned = self.is_returned, promised = refusal.is_some_and(|r| r.promised),
             retry_ms, peers = self.gateway.peers_alive(),
             report_age_ms = queue.report_age(now).as_millis() as u64;
             "{message}"
--- a/crates/gateway/src/unread/mod.rs
+++ b/crates/gateway/src/unread/mod.rs
@@ -5,7 +5,8 @@
 //! the memory of the daemon's VM. It is a bound and not an allocation. When it is exceeded, the
 //! response with the most unread bytes is cut off, so that one slow caller costs the others nothing.
 //!
-//! This answers callers that read slowly for a moment, and a thousand callers that do not read.
+//! Callers that fall behind for a moment therefore lose nothing, and the memory stays bounded
+//! however many callers stop reading.
 
 mod body;
 mod key;
--- a/crates/routing/src/queue/mod.rs
+++ b/crates/routing/src/queue/mod.rs
@@ -1,7 +1,7 @@
 //! Admission queue of an entry daemon for requests that the servers have no room for now.
 //!
-//! It answers a load in which large prompts arrive faster for some seconds than the servers can
-//! take them, at several daemons at once. A [`Queue`] decides whose turn it is to be placed, and
+//! It bridges the seconds in which large prompts arrive at several daemons faster than the servers
+//! can take them. A [`Queue`] decides whose turn it is to be placed, and
 //! who is refused with a promise to be served on return. The daemon places the request and tells
 //! the queue the result. The queue itself reads no clock and sends nothing.
 //!
--- a/crates/routing/src/queue/patience.rs
+++ b/crates/routing/src/queue/patience.rs
@@ -2,9 +2,10 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Patience {
     /// The request can still wait. The number is the part of its wait that is over, from 0 to 1.
+    /// A caller may ignore it.
     Waited(f64),
     /// This is its last chance before it is refused.
     Exhausted,
-    /// It was promised to be served: whatever the cost, if the memory is there.
+    /// It was promised to be served, so it may cost others more than a request without a promise.
     Promised,
 }
--- a/crates/routing/src/queue/peers.rs
+++ b/crates/routing/src/queue/peers.rs
@@ -45,7 +45,9 @@
             self.mark_returned(*identity, now);
         }
         for identity in &report.promised {
-            if self.promised.len() < MAX_IDENTITIES && !self.returned.contains_key(identity) {
+            let has_room =
+                self.promised.len() < MAX_IDENTITIES || self.promised.contains_key(identity);
+            if has_room && !self.returned.contains_key(identity) {
                 self.promised.insert(*identity, now);
             }
         }
@@ -87,7 +89,8 @@
         self.peers.values().flat_map(|p| &p.report.waiting)
     }
 
-    /// Returns the work of the waiting requests that the other daemons did not list.
+    /// Returns the work of the waiting requests that the other daemons did not list, in all pools:
+    /// reports do not divide it.
     pub fn other_work(&self) -> Duration {
         self.peers.values().map(|p| p.report.other_work).sum()
     }
--- a/crates/routing/src/queue/state.rs
+++ b/crates/routing/src/queue/state.rs
@@ -152,8 +152,8 @@
         Turn::Try { patience, reserve }
     }
 
-    /// Records that the servers had no room for a request. `room_in` is when they are expected to
-    /// have some. If too much waits before it at all daemons, its next try is the last.
+    /// Records that the servers had no room for a request. `room_in` is the expected time
+    /// until they have some. If too much waits before it at all daemons, its next try is the last.
     pub fn declined(&mut self, key: Key, shortage: Shortage, room_in: Duration, now: Moment) {
         let ahead = self.waiting.get(&key).map(|w| self.work_before(&self.place(w)));
         let Some(waiting) = self.waiting.get_mut(&key) else {
@@ -196,7 +196,8 @@
         let room_in = room_in.max(before.div_f64(PROMISED_FRACTION));
         let retry_after = room_in.min(longest);
         let due = now + retry_after;
-        // A prompt that costs others too much may do so again: room can be kept for it, but not quiet.
+        // A prompt that costs others too much may do so again: a promise holds memory for it, but does
+        // not lower the load of the servers.
         let lacked_room = waiting.shortage != Some(Shortage::Cost);
         let can_be_served = lacked_room && room_in <= longest && due < entry.latest_start;
         let promised = can_be_served && !waiting.promised && !place.over_share;
