--- a/crates/gateway/src/config/table.rs
+++ b/crates/gateway/src/config/table.rs
@@ -123,6 +123,16 @@
         self.services.values().any(|service| service.cold_start.is_some())
     }
 
+    /// Returns whether requests for a service differ in priority, by their routes or client accounts.
+    pub fn has_priorities(&self, service: &service::Name) -> bool {
+        let routes = self.routes.values().flatten();
+        let routes = routes.filter(|r| r.targets.iter().any(|target| target.service == *service));
+        let accounts = self.accounts.values().filter_map(|account| account.priority);
+        let mut priorities = routes.map(|route| route.priority).chain(accounts);
+        let first = priorities.next();
+        priorities.any(|priority| Some(priority) != first)
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/gateway/src/gateway/queue.rs
+++ b/crates/gateway/src/gateway/queue.rs
@@ -28,10 +28,8 @@
 use crate::placement::needs_joint;
 use crate::placement::request_value;
 use crate::queue::Shared;
+use crate::queue::WAIT_FRACTION;
 
-/// Fraction of its target latency for which a request waits for room on the servers. The rest is
-/// for its prefill, which takes longer on busy servers.
-const WAIT_FRACTION: f64 = 0.35;
 /// Multiple of the prefill time of its part that a prompt needs on a server that computes other
 /// prompts at the same time.
 const BUSY_PREFILL_FACTOR: f64 = 2.0;
@@ -42,15 +40,27 @@
         &self.queue
     }
 
-    /// Returns the entry of a request for the queue, or `None` if it cannot be declined for lack of
-    /// room, or would not fit on idle servers either.
+    /// Returns whether a request that has no room now may fit once other requests have ended.
+    pub fn may_fit_later(&self, request: &Request) -> bool {
+        match (&request.service.engine, &request.metadata.prompt) {
+            (Some(profile), Some(prompt)) => {
+                fits_jointly(prompt, profile, self.serving_count(request))
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns the entry of a request for the queue, or `None` if the requests for its service do not
+    /// differ in priority, if it cannot be declined for lack of room, or if it would not fit on idle
+    /// servers either.
     pub fn queue_entry(&self, request: &Request) -> Option<Entry> {
         let (Some(profile), Some(prompt)) = (&request.service.engine, &request.metadata.prompt)
         else {
             return None;
         };
         let servers = self.serving_count(request);
-        if !needs_joint(prompt, profile) || !fits_jointly(prompt, profile, servers) {
+        let is_ordered = self.config().is_some_and(|c| c.has_priorities(&request.service.name));
+        if !is_ordered || !needs_joint(prompt, profile) || !fits_jointly(prompt, profile, servers) {
             return None;
         }
         let whole = request.features.iter().find(|feature| feature.is_whole());
--- a/crates/gateway/src/http/place.rs
+++ b/crates/gateway/src/http/place.rs
@@ -18,8 +18,11 @@
 use crate::placement::Declined;
 use crate::placement::Placement;
 use crate::queue::Ticket;
+use crate::queue::WAIT_FRACTION;
 use crate::stop::Phase;
 
+/// Interval at which a waiting request of a service without an order of priority is placed again.
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Retry delay for callers when no server accepts the request.
 const NO_SERVER_RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -58,7 +61,7 @@
         *ticket = entry.map(|entry| Ticket::new(gateway, &request.metadata.id, entry));
     }
     let Some(mut waiting) = ticket.take() else {
-        return gateway.place(request, tried).map_err(Into::into);
+        return place_unordered(gateway, request, tried).await.map_err(Into::into);
     };
     let mut phase = gateway.subscribe_phase();
     let mut declined = Declined::NoMemory;
@@ -103,6 +106,25 @@
     }
 }
 
+/// Places a request whose service has no order of priority. If the servers have no memory for it, or
+/// if it would cost other requests too much, waits up to a fraction of its target latency: prompts of
+/// that size are few and memory is freed soon.
+async fn place_unordered(
+    gateway: &Rc<Gateway>,
+    request: &Rc<Request>,
+    tried: &[runner::Id],
+) -> Result<Placement, Declined> {
+    let deadline = request.arrived + request.route.target_latency.mul_f64(WAIT_FRACTION);
+    loop {
+        let placement = gateway.place(request, tried);
+        let full = matches!(placement, Err(Declined::NoMemory | Declined::TooCostly { .. }));
+        if !full || !gateway.may_fit_later(request) || gateway.now() >= deadline {
+            return placement;
+        }
+        tokio::time::sleep(MEMORY_POLL_INTERVAL).await;
+    }
+}
+
 /// Refuses a request of the queue.
 fn refuse_waiting(
     gateway: &Gateway,
--- a/crates/gateway/src/queue/mod.rs
+++ b/crates/gateway/src/queue/mod.rs
@@ -11,3 +11,7 @@
 pub use shared::InFlight;
 pub use shared::Shared;
 pub use ticket::Ticket;
+
+/// Fraction of its target latency for which a request waits for room on the servers. The rest is
+/// for its prefill, which takes longer on busy servers.
+pub const WAIT_FRACTION: f64 = 0.35;
--- a/crates/gateway/tests/testsuite/config.rs
+++ b/crates/gateway/tests/testsuite/config.rs
@@ -71,3 +71,28 @@
     let route = route("r", "/", true);
     assert_eq!(route.service(draw).unwrap().as_str(), expected);
 }
+
+/// Guards against an order of requests on deployments that state none, and against none where client
+/// accounts or routes differ.
+#[test_case(&[1, 1], &[], false; "equal routes")]
+#[test_case(&[0, 2], &[], true; "routes that differ")]
+#[test_case(&[1, 1], &[1], false; "an account like the routes")]
+#[test_case(&[1, 1], &[1, 0], true; "accounts that differ")]
+fn priorities_are_known_where_requests_differ(routes: &[u8], accounts: &[u8], expected: bool) {
+    let routes = routes.iter().map(|priority| Route {
+        priority: *priority,
+        ..route("name", &format!("/{priority}/"), false)
+    });
+    let accounts = accounts.iter().map(|priority| {
+        let id = format!("account-{priority}").parse().unwrap();
+        (format!("key-{priority}"), Account { id, priority: Some(*priority), regions: Vec::new() })
+    });
+    let config = Config::new(
+        Version::new(3),
+        Limits::default(),
+        routes.collect(),
+        Vec::new(),
+        Some(accounts.collect()),
+    );
+    assert_eq!(config.has_priorities(&"one".parse().unwrap()), expected);
+}
