--- /dev/null
+++ b/review/standins/src/cases/mod.rs
@@ -0,0 +1,3 @@
+//! The cases that are scripts.
+
+pub mod slow_readers;
--- /dev/null
+++ b/review/standins/src/server.rs
@@ -0,0 +1,147 @@
+//! Stand-in of a backend server: it answers requests and streams events.
+
+use std::io;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::http::Head;
+use crate::http::Reader;
+use crate::record::Log;
+
+/// What a server sends for a streaming request.
+#[derive(Debug, Clone, Copy)]
+pub struct Stream {
+    /// Number of events.
+    pub events: usize,
+    /// Size of an event, in bytes.
+    pub event_bytes: usize,
+    /// Time between two events.
+    pub pause: Duration,
+}
+
+/// A backend server.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Its id.
+    pub id: String,
+    /// Its service.
+    pub service: &'static str,
+    /// Its address.
+    pub address: SocketAddr,
+    stream: Stream,
+    born: u64,
+    log: Log,
+    runs: Arc<Mutex<Vec<String>>>,
+}
+
+impl Server {
+    /// Starts a server.
+    pub fn start(
+        id: &str,
+        service: &'static str,
+        ip: Ipv4Addr,
+        stream: Stream,
+        log: &Log,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind((ip, 0))?;
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).map_err(io::Error::other)?;
+        let server = Self {
+            id: id.to_owned(),
+            service,
+            address: listener.local_addr()?,
+            stream,
+            born: born.as_millis() as u64,
+            log: log.clone(),
+            runs: Arc::default(),
+        };
+        let shared = server.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = shared.clone();
+                std::thread::spawn(move || server.serve(stream));
+            }
+        });
+        Ok(server)
+    }
+
+    /// Returns its registration in the store.
+    pub fn registration(&self, state: &str, zone: &str) -> Value {
+        json!({
+            "service": self.service, "address": self.address.to_string(), "zone": zone,
+            "version": "v1", "slots": 12, "state": state, "coldRemainingMs": 0, "seq": 1,
+            "born": self.born,
+        })
+    }
+
+    /// Returns the ids of the requests that it ran, in order.
+    pub fn runs(&self) -> Vec<String> {
+        self.runs.lock().unwrap().clone()
+    }
+
+    /// Returns the body that it sends for a request.
+    pub fn stream_of(&self, id: &str) -> String {
+        (0..self.stream.events).map(|n| event(id, n, self.stream.event_bytes)).collect()
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = Reader::new(stream);
+        while let Ok(Some(head)) = reader.read_head() {
+            if reader.read_body(&head).is_err() || self.answer(&mut writer, &head).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, writer: &mut TcpStream, head: &Head) -> io::Result<()> {
+        let id = head.header("x-attempt-id").unwrap_or_default();
+        if head.header("x-expect-instance").is_some_and(|expected| expected != self.id) {
+            return writer.write_all(b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n");
+        }
+        self.runs.lock().unwrap().push(id.to_owned());
+        self.log.line(&format!("server {} runs {id}", self.id));
+        let common = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: seal.{}.{id}\r\nX-Instance-Id: {}\r\n",
+            self.id, self.id
+        );
+        if !head.target().starts_with("/stream/") {
+            let body = "x".repeat(800);
+            let text = format!("{common}Content-Length: {}\r\n\r\n{body}", body.len());
+            writer.write_all(text.as_bytes())?;
+        } else {
+            let head = format!(
+                "{common}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            writer.write_all(head.as_bytes())?;
+            for n in 0..self.stream.events {
+                let event = event(id, n, self.stream.event_bytes);
+                writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+                std::thread::sleep(self.stream.pause);
+            }
+            writer.write_all(b"0\r\n\r\n")?;
+        }
+        self.log.line(&format!("server {} has sent its whole answer to {id}", self.id));
+        Ok(())
+    }
+}
+
+/// Returns an event of a stream, filled up to this size.
+fn event(id: &str, number: usize, bytes: usize) -> String {
+    let start = format!("id: {number}\ndata: {id} ");
+    let fill = bytes.saturating_sub(start.len() + 2);
+    format!("{start}{}\n\n", "t".repeat(fill))
+}
