--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,3 +1,4 @@
 //! The cases that are scripts.
 
 pub mod slow_readers;
+pub mod unregistered;
--- a/review/standins/src/daemon.rs
+++ b/review/standins/src/daemon.rs
@@ -64,6 +64,16 @@
         Err(io::Error::other("the daemon did not become ready"))
     }
 
+    /// Returns the address of the readiness check.
+    pub const fn ready(&self) -> SocketAddr {
+        self.ready
+    }
+
+    /// Returns the id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: i32) {
         // SAFETY: the process was started by this program and has not been waited for.
