--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,4 +1,6 @@
 //! The cases that are scripts.
 
+pub mod restored_store;
 pub mod slow_readers;
+pub mod torn_entry;
 pub mod unregistered;
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -29,6 +29,8 @@
         log.line(&format!("case {case}, trouble: {trouble}"));
         let result = match case.as_str() {
             "slow-readers" => cases::slow_readers::run(trouble, &log),
+            "restored-store" => cases::restored_store::run(trouble, &log),
+            "torn-entry" => cases::torn_entry::run(trouble, &log),
             "unregistered" => cases::unregistered::run(trouble, &log),
             other => Err(std::io::Error::other(format!("unknown case {other}"))),
         };
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -8,6 +8,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -19,6 +21,9 @@
 use crate::http::Reader;
 use crate::record::Log;
 
+/// Time that a request takes that is not streamed.
+const WORK: Duration = Duration::from_millis(15);
+
 /// What a server sends for a streaming request.
 #[derive(Debug, Clone, Copy)]
 pub struct Stream {
@@ -43,6 +48,8 @@
     born: u64,
     log: Log,
     runs: Arc<Mutex<Vec<String>>>,
+    is_leaving: Arc<AtomicBool>,
+    has_exited: Arc<AtomicBool>,
 }
 
 impl Server {
@@ -64,10 +71,15 @@
             born: born.as_millis() as u64,
             log: log.clone(),
             runs: Arc::default(),
+            is_leaving: Arc::default(),
+            has_exited: Arc::default(),
         };
         let shared = server.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if shared.has_exited.load(Ordering::Relaxed) {
+                    return;
+                }
                 let server = shared.clone();
                 std::thread::spawn(move || server.serve(stream));
             }
@@ -84,6 +96,18 @@
         })
     }
 
+    /// Says in all answers from now on that it is leaving.
+    pub fn set_leaving(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Takes no more connections and requests.
+    pub fn exit(&self) {
+        self.has_exited.store(true, Ordering::Relaxed);
+        let _ = TcpStream::connect(self.address);
+        self.log.line(&format!("server {} exits", self.id));
+    }
+
     /// Returns the ids of the requests that it ran, in order.
     pub fn runs(&self) -> Vec<String> {
         self.runs.lock().unwrap().clone()
@@ -101,7 +125,9 @@
         };
         let mut reader = Reader::new(stream);
         while let Ok(Some(head)) = reader.read_head() {
-            if reader.read_body(&head).is_err() || self.answer(&mut writer, &head).is_err() {
+            if self.has_exited.load(Ordering::Relaxed)
+                || reader.read_body(&head).is_err()
+                || self.answer(&mut writer, &head).is_err() {
                 return;
             }
         }
@@ -114,11 +140,17 @@
         }
         self.runs.lock().unwrap().push(id.to_owned());
         self.log.line(&format!("server {} runs {id}", self.id));
+        let leaving = match self.is_leaving.load(Ordering::Relaxed) {
+            true => "Server-Leaving: 1\r\nConnection: close\r\n",
+            false => "",
+        };
         let common = format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: seal.{}.{id}\r\nX-Instance-Id: {}\r\n",
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: \
+             seal.{}.{id}\r\nX-Instance-Id: {}\r\n{leaving}",
             self.id, self.id
         );
         if !head.target().starts_with("/stream/") {
+            std::thread::sleep(WORK);
             let body = "x".repeat(800);
             let text = format!("{common}Content-Length: {}\r\n\r\n{body}", body.len());
             writer.write_all(text.as_bytes())?;
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -37,6 +37,8 @@
     loses_answers: bool,
     /// Number of writing calls since then, and of those that got no answer.
     writes: (usize, usize),
+    /// Highest revision from which each kind has been watched.
+    watched_from: HashMap<String, u64>,
     revision: u64,
     objects: BTreeMap<(String, String), Vec<u8>>,
     events: Vec<(u64, String, Vec<u8>)>,
@@ -121,6 +123,16 @@
         changed.notify_all();
     }
 
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.state.0.lock().unwrap().revision
+    }
+
+    /// Returns the highest revision from which a kind has been watched.
+    pub fn watched_from(&self, kind: &str) -> u64 {
+        self.state.0.lock().unwrap().watched_from.get(kind).copied().unwrap_or_default()
+    }
+
     /// Begins or ends an outage.
     pub fn set_away(&self, is_away: bool) {
         let (lock, changed) = &*self.state;
@@ -255,6 +267,8 @@
         let until = Instant::now() + wait;
         let mut state = lock.lock().unwrap();
         let era = state.era;
+        let watched_from = state.watched_from.entry(kind.to_owned()).or_default();
+        *watched_from = from.max(*watched_from);
         loop {
             if state.is_away || from > state.revision || era != state.era {
                 return ("410 Gone", b"{}".to_vec());
