--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -29,6 +29,7 @@
         log.line(&format!("case {case}, trouble: {trouble}"));
         let result = match case.as_str() {
             "slow-readers" => cases::slow_readers::run(trouble, &log),
+            "large-prompts" => cases::large_prompts::run(trouble, &log),
             "restored-store" => cases::restored_store::run(trouble, &log),
             "torn-entry" => cases::torn_entry::run(trouble, &log),
             "unregistered" => cases::unregistered::run(trouble, &log),
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -102,7 +102,8 @@
             "deletionPending": false,
         });
         let object =
-            [b"{\"metadata\":", metadata.to_string().as_bytes(), b",\"spec\":", spec, b"}"].concat();
+            [b"{\"metadata\":", metadata.to_string().as_bytes(), b",\"spec\":", spec, b"}"]
+                .concat();
         state.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
         let event = [b"{\"removed\":false,\"object\":", &object[..], b"}"].concat();
         state.events.push((revision, kind.to_owned(), event));
@@ -207,7 +208,8 @@
 
     fn answer(&self, head: &Head, body: &[u8]) -> (&'static str, Vec<u8>) {
         let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
-        let query: HashMap<&str, &str> = query.split('&').filter_map(|p| p.split_once('=')).collect();
+        let query: HashMap<&str, &str> =
+            query.split('&').filter_map(|p| p.split_once('=')).collect();
         let Some(rest) = path.strip_prefix(OBJECTS) else {
             return ("404 Not Found", b"{}".to_vec());
         };
