--- a/review/standins/src/cases/large_prompts.rs
+++ b/review/standins/src/cases/large_prompts.rs
@@ -72,7 +72,7 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let platform = std::thread::spawn({
         let (is_over, log, pid) = (is_over.clone(), log.clone(), daemon.pid());
-        move || enforce_memory(pid, &is_over, &log)
+        move || enforce_memory(pid, MEMORY_MB, &is_over, &log)
     });
     log.line(&format!(
         "{count} clients on kept connections send a prompt of {BODY_BYTES} bytes each, one every {} ms",
@@ -115,7 +115,7 @@
 }
 
 /// Kills the process when it exceeds its memory, as the platform does; returns its peak in MB.
-fn enforce_memory(pid: u32, is_over: &AtomicBool, log: &Log) -> u64 {
+pub fn enforce_memory(pid: u32, memory_mb: u64, is_over: &AtomicBool, log: &Log) -> u64 {
     let mut peak = 0;
     while !is_over.load(Ordering::Relaxed) {
         let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
@@ -123,7 +123,7 @@
         let kb = line.and_then(|l| l.trim().strip_suffix(" kB")?.trim().parse::<u64>().ok());
         let used = kb.unwrap_or(0) / 1_000;
         peak = peak.max(used);
-        if used > MEMORY_MB {
+        if used > memory_mb {
             log.line(&format!("the process uses {used} MB; the platform kills it"));
             // SAFETY: the process was started by this program and has not been waited for.
             unsafe { libc::kill(pid as i32, libc::SIGKILL) };
--- a/review/standins/src/cases/slow_readers.rs
+++ b/review/standins/src/cases/slow_readers.rs
@@ -10,6 +10,7 @@
 use crate::daemon::Settings;
 use crate::fleet;
 use crate::record::Log;
+use crate::server::ANSWER_BYTES;
 use crate::server::Server;
 use crate::server::Stream;
 use crate::store::Store;
@@ -17,9 +18,13 @@
 /// Number of clients.
 const CLIENTS: usize = 8;
 /// Receive buffer of a client, in bytes.
-const RECEIVE_BUFFER: usize = 4_096;
-/// Time for which a client does not read.
-const PAUSE: Duration = Duration::from_millis(3_500);
+const RECEIVE_BUFFER: usize = 2_048;
+/// Time for which the client of a stream does not read.
+const STREAM_PAUSE: Duration = Duration::from_millis(3_500);
+/// Time for which the client of a payment does not read, less than its deadline.
+const PAYMENT_PAUSE: Duration = Duration::from_millis(2_700);
+/// Time that the client of a payment waits.
+const PAYMENT_DEADLINE_MS: u64 = 3_000;
 /// Connections that a machine may close without an answer.
 const ALLOWED: usize = 3;
 /// Time that a machine must have run to be in touch.
@@ -63,20 +68,30 @@
     daemon.signal(libc::SIGHUP);
     std::thread::sleep(Duration::from_millis(200));
 
-    let pause = if trouble { PAUSE } else { Duration::ZERO };
     let threads: Vec<_> = clients
         .into_iter()
         .enumerate()
         .map(|(n, mut client)| {
             let (log, model) = (log.clone(), model.clone());
             std::thread::spawn(move || {
-                let id = format!("second-{n}");
-                let sent = client.send(&request("/stream/x", &id));
+                let is_payment = n % 2 == 0;
+                let id = format!("{}-{n}", if is_payment { "payment" } else { "stream" });
+                let path = if is_payment { "/post/x" } else { "/stream/x" };
+                let pause = match (trouble, is_payment) {
+                    (false, _) => Duration::ZERO,
+                    (true, true) => PAYMENT_PAUSE,
+                    (true, false) => STREAM_PAUSE,
+                };
+                let sent = client.send(&request(path, &id));
                 log.line(&format!("client sends {id}: {sent:?}"));
                 let outcome = client.receive(pause);
                 let is_whole = match &outcome {
                     Outcome::Answered(head, body) => {
-                        head.status() == 200 && *body == model.stream_of(&id).into_bytes()
+                        let expected = match is_payment {
+                            true => vec![b'x'; ANSWER_BYTES],
+                            false => model.stream_of(&id).into_bytes(),
+                        };
+                        head.status() == 200 && *body == expected
                     }
                     Outcome::Cut(_) => false,
                 };
@@ -93,7 +108,9 @@
         .collect();
     let whole = threads.into_iter().filter_map(|t| t.join().ok()).filter(|whole| *whole).count();
     let cut = CLIENTS - whole;
-    log.line(&format!("{} requests ran; {cut} of {CLIENTS} answers were cut", model.runs().len()));
+    let payments = desk.runs().iter().filter(|id| id.starts_with("payment")).count();
+    let streams = model.runs().len();
+    log.line(&format!("{payments} payments and {streams} streams ran; {cut} answers were cut"));
     Ok(cut <= ALLOWED)
 }
 
@@ -103,5 +120,6 @@
     } else {
         ""
     };
-    Request { path, id, deadline_ms: 10_000, headers, body: b"{}" }
+    let deadline_ms = if path.starts_with("/post/") { PAYMENT_DEADLINE_MS } else { 10_000 };
+    Request { path, id, deadline_ms, headers, body: b"{}" }
 }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -17,6 +17,14 @@
 use std::process::ExitCode;
 
 use crate::record::Log;
+use crate::server::Stream;
+
+/// Events of the sizes that the sheets state.
+const SMALL_EVENTS: Stream =
+    Stream { events: 70, event_bytes: 390, pause: std::time::Duration::from_millis(20) };
+/// Events of the size that the project's own test uses.
+const LARGE_EVENTS: Stream =
+    Stream { events: 6, event_bytes: 128 * 1024, pause: std::time::Duration::from_millis(20) };
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
@@ -29,6 +37,8 @@
         log.line(&format!("case {case}, trouble: {trouble}"));
         let result = match case.as_str() {
             "slow-readers" => cases::slow_readers::run(trouble, &log),
+            "idle-readers-small" => cases::idle_readers::run(SMALL_EVENTS, &log),
+            "idle-readers-large" => cases::idle_readers::run(LARGE_EVENTS, &log),
             "large-prompts" => cases::large_prompts::run(trouble, &log),
             "restored-store" => cases::restored_store::run(trouble, &log),
             "torn-entry" => cases::torn_entry::run(trouble, &log),
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -24,6 +24,9 @@
 /// Time that a request takes that is not streamed.
 const WORK: Duration = Duration::from_millis(15);
 
+/// Size of an answer that is not streamed, the largest of the sheets, in bytes.
+pub const ANSWER_BYTES: usize = 4_800;
+
 /// What a server sends for a streaming request.
 #[derive(Debug, Clone, Copy)]
 pub struct Stream {
@@ -152,7 +155,7 @@
         );
         if !head.target().starts_with("/stream/") {
             std::thread::sleep(WORK);
-            let body = "x".repeat(800);
+            let body = "x".repeat(ANSWER_BYTES);
             let text = format!("{common}Content-Length: {}\r\n\r\n{body}", body.len());
             writer.write_all(text.as_bytes())?;
         } else {
