--- a/review/standins/src/cases/large_prompts.rs
+++ b/review/standins/src/cases/large_prompts.rs
@@ -1,4 +1,4 @@
-//! Many users with large prompts come at once.
+//! Many users with large prompts come at once. No case, since it exceeds the rates of the sheets.
 
 use std::io;
 use std::sync::Arc;
@@ -34,7 +34,13 @@
 /// Interval at which the platform looks at the memory of a process.
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 /// An answer of ten seconds.
-const ANSWER: Stream = Stream { events: 40, event_bytes: 100, pause: Duration::from_millis(250) };
+const ANSWER: Stream = Stream {
+    events: 40,
+    event_bytes: 100,
+    pause: Duration::from_millis(250),
+    is_sized: false,
+    reset_after: None,
+};
 
 /// Returns whether the rule was kept.
 pub fn run(trouble: bool, log: &Log) -> io::Result<bool> {
--- a/review/standins/src/cases/slow_readers.rs
+++ b/review/standins/src/cases/slow_readers.rs
@@ -30,7 +30,13 @@
 /// Time that a machine must have run to be in touch.
 const STABLE_WINDOW: Duration = Duration::from_millis(4_500);
 /// An answer as large as the deployment's largest ones.
-const ANSWER: Stream = Stream { events: 70, event_bytes: 390, pause: Duration::from_millis(20) };
+const ANSWER: Stream = Stream {
+    events: 70,
+    event_bytes: 390,
+    pause: Duration::from_millis(20),
+    is_sized: false,
+    reset_after: None,
+};
 
 /// Returns whether the rule was kept.
 pub fn run(trouble: bool, log: &Log) -> io::Result<bool> {
--- a/review/standins/src/cases/torn_entry.rs
+++ b/review/standins/src/cases/torn_entry.rs
@@ -31,7 +31,13 @@
     let folder = fleet::folder()?;
     let store = Store::start(ips[1])?;
     store.put("config", "main", &fleet::config(1));
-    let answer = Stream { events: 1, event_bytes: 100, pause: Duration::from_millis(20) };
+    let answer = Stream {
+        events: 1,
+        event_bytes: 100,
+        pause: Duration::from_millis(20),
+        is_sized: false,
+        reset_after: None,
+    };
     let leaver = Server::start("i-leaver", "desk", ips[1], answer, log)?;
     let stayer = Server::start("i-stayer", "desk", ips[1], answer, log)?;
     for server in [&leaver, &stayer] {
--- a/review/standins/src/cases/unregistered.rs
+++ b/review/standins/src/cases/unregistered.rs
@@ -43,7 +43,13 @@
     let own = ips[FIRST + ADDED];
     let store = Store::start(own)?;
     store.put("config", "main", &fleet::config(1));
-    let answer = Stream { events: 1, event_bytes: 100, pause: Duration::from_millis(20) };
+    let answer = Stream {
+        events: 1,
+        event_bytes: 100,
+        pause: Duration::from_millis(20),
+        is_sized: false,
+        reset_after: None,
+    };
     let desk = Server::start("i-desk", "desk", own, answer, log)?;
     store.put("servers", &desk.id, &desk.registration("ready", "a"));
     let start = |n: usize| {
