--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases that are scripts.
 
+pub mod busy_stop;
 pub mod idle_readers;
 pub mod large_prompts;
 pub mod restored_store;
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -39,6 +39,35 @@
     Ok(folder)
 }
 
+/// Times of an engine's step, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Engine {
+    /// Of each step.
+    pub step_ms: f64,
+    /// For each request that is writing.
+    pub per_seq_ms: f64,
+    /// Tokens of an event.
+    pub stride: u32,
+    /// Requests at once.
+    pub slots: u32,
+}
+
+/// The engines of [`config_with_engines`].
+pub const ENGINE: Engine = Engine { step_ms: 1.0, per_seq_ms: 0.15, stride: 46, slots: 16 };
+
+/// Returns a configuration like [`config`], whose service `models` has engines.
+pub fn config_with_engines(version: u64) -> Value {
+    let mut config = config(version);
+    let Engine { step_ms, per_seq_ms, stride, slots } = ENGINE;
+    config["services"][0]["engine"] = json!({
+        "slots": slots, "kvCapacityTokens": 450_000, "stride": stride, "step_ms": step_ms,
+        "per_seq_ms": per_seq_ms, "context_per_k": 0.0, "read_per_s": 256_000.0,
+        "pairs_per_m": 0.09, "chunk": 2_048, "usual": {"prompt": 5_000, "answer": 1_500},
+        "report_lag_ms": 200,
+    });
+    config
+}
+
 /// Returns a configuration: streams at `models`, other requests at `desk`.
 pub fn config(version: u64) -> Value {
     let route = |prefix: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -47,6 +47,7 @@
         log.line(&format!("case {case}, trouble: {trouble}"));
         let result = match case.as_str() {
             "slow-readers" => cases::slow_readers::run(trouble, &log),
+            "busy-stop" => cases::busy_stop::run(trouble, &log),
             "idle-readers-small" => cases::idle_readers::run(SMALL_EVENTS, &log),
             "idle-readers-large" => cases::idle_readers::run(LARGE_EVENTS, &log),
             "large-prompts" => cases::large_prompts::run(trouble, &log),
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -18,6 +19,7 @@
 use serde_json::json;
 use socket2::SockRef;
 
+use crate::fleet::Engine;
 use crate::http::Head;
 use crate::http::Reader;
 use crate::record::Log;
@@ -62,6 +64,9 @@
     runs: Arc<Mutex<Vec<String>>>,
     is_leaving: Arc<AtomicBool>,
     has_exited: Arc<AtomicBool>,
+    engine: Option<Engine>,
+    /// Number of streams that an engine writes now.
+    writing: Arc<AtomicUsize>,
 }
 
 impl Server {
@@ -72,6 +77,29 @@
         ip: Ipv4Addr,
         stream: Stream,
         log: &Log,
+    ) -> io::Result<Self> {
+        Self::start_with(id, service, ip, stream, None, log)
+    }
+
+    /// Starts an engine, which writes the more slowly the more streams it writes.
+    pub fn start_engine(
+        id: &str,
+        service: &'static str,
+        ip: Ipv4Addr,
+        stream: Stream,
+        engine: Engine,
+        log: &Log,
+    ) -> io::Result<Self> {
+        Self::start_with(id, service, ip, stream, Some(engine), log)
+    }
+
+    fn start_with(
+        id: &str,
+        service: &'static str,
+        ip: Ipv4Addr,
+        stream: Stream,
+        engine: Option<Engine>,
+        log: &Log,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind((ip, 0))?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH).map_err(io::Error::other)?;
@@ -85,6 +113,8 @@
             runs: Arc::default(),
             is_leaving: Arc::default(),
             has_exited: Arc::default(),
+            engine,
+            writing: Arc::default(),
         };
         let shared = server.clone();
         std::thread::spawn(move || {
@@ -168,7 +198,10 @@
             let text = format!("{common}Content-Length: {}\r\n\r\n{body}", body.len());
             writer.write_all(text.as_bytes())?;
         } else {
-            self.send_stream(writer, head, &common)?;
+            self.writing.fetch_add(1, Ordering::Relaxed);
+            let sent = self.send_stream(writer, head, &common);
+            self.writing.fetch_sub(1, Ordering::Relaxed);
+            sent?;
         }
         self.log.line(&format!("server {} has sent its whole answer to {id}", self.id));
         Ok(())
@@ -176,6 +209,13 @@
 }
 
 impl Server {
+    /// Returns the time in which an engine writes an event of each stream.
+    fn pass(&self, engine: Engine) -> Duration {
+        let writing = self.writing.load(Ordering::Relaxed).min(engine.slots as usize);
+        let step_ms = engine.step_ms + engine.per_seq_ms * writing as f64;
+        Duration::from_secs_f64(step_ms * f64::from(engine.stride) / 1e3)
+    }
+
     /// Streams the events after the one that the request names.
     fn send_stream(&self, writer: &mut TcpStream, head: &Head, common: &str) -> io::Result<()> {
         let id = head.header("x-attempt-id").unwrap_or_default();
@@ -188,6 +228,9 @@
             true => format!("Content-Length: {}", pieces.iter().map(String::len).sum::<usize>()),
             false => "Transfer-Encoding: chunked".to_owned(),
         };
+        if let Some(engine) = self.engine {
+            std::thread::sleep(self.pass(engine));
+        }
         let head = format!("{common}Content-Type: text/event-stream\r\n{framing}\r\n\r\n");
         writer.write_all(head.as_bytes())?;
         for (n, piece) in pieces.iter().enumerate() {
@@ -207,7 +250,7 @@
                 let _ = writer.shutdown(std::net::Shutdown::Read);
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
-            std::thread::sleep(pause);
+            std::thread::sleep(self.engine.map_or(pause, |engine| self.pass(engine)));
         }
         if is_sized { Ok(()) } else { writer.write_all(b"0\r\n\r\n") }
     }
