gateway: logs and metrics of reserved memory and of the retry budget

Change: 'memory reserved' names ticket and servers, 'memory released' the longest time without a sign of use; 'retry allowed' and 'retry budget exhausted' name the daemons between which the constant part is divided and what is used; memory_unused_seconds, resends_denied_total, retry_budget_daemons. No decision changes.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -38,6 +38,11 @@
         expire(&mut self.requests, now, bounds.window);
     }
 
+    /// Returns the number of retries in the window.
+    pub fn used(&self) -> usize {
+        self.retries.len()
+    }
+
     /// Takes one resend from the budget; returns false if the budget is exhausted. The constant
     /// allowance is divided among the number of `daemons`.
     pub fn withdraw(&mut self, now: Moment, bounds: &Bounds, daemons: usize) -> bool {
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -63,10 +63,13 @@
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(request.service.name.clone()).or_default();
         let allowed = budget.withdraw(now, &self.settings.budget, daemons);
+        let used = budget.used();
         if allowed {
-            self.metrics.retried();
+            self.metrics.retried(daemons);
+            info!(target: "request", id = request.metadata.id, daemons, used; "retry allowed");
         } else {
-            info!(target: "request", id = request.metadata.id, daemons; "retry budget exhausted");
+            self.metrics.retry_denied(daemons);
+            info!(target: "request", id = request.metadata.id, daemons, used; "retry budget exhausted");
         }
         allowed
     }
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -40,6 +40,9 @@
     refusals: Family<Label, Counter>,
     attempts: Family<Label, Counter>,
     retries: Counter,
+    retries_denied: Counter,
+    retry_sharers: Gauge,
+    memory_unused: Histogram,
     streams_interrupted: Counter,
     callers_disconnected: Counter,
     slow_callers: Counter,
@@ -80,6 +83,9 @@
             refusals: Family::default(),
             attempts: Family::default(),
             retries: Counter::default(),
+            retries_denied: Counter::default(),
+            retry_sharers: Gauge::default(),
+            memory_unused: latency_histogram(),
             streams_interrupted: Counter::default(),
             callers_disconnected: Counter::default(),
             slow_callers: Counter::default(),
@@ -124,6 +130,22 @@
             self.timer_delay.clone(),
         );
         registry.register("resends", "Sends beyond the first", self.retries.clone());
+        registry.register(
+            "resends_denied",
+            "Sends beyond the first that the retry budget did not allow",
+            self.retries_denied.clone(),
+        );
+        registry.register(
+            "retry_budget_daemons",
+            "Daemons between which the constant part of the retry budget was last divided",
+            self.retry_sharers.clone(),
+        );
+        registry.register_with_unit(
+            "memory_unused",
+            "Longest time for which memory that a request had reserved showed no use",
+            Unit::Seconds,
+            self.memory_unused.clone(),
+        );
         registry.register("streams_broken", "Streams broken off", self.streams_interrupted.clone());
         registry.register(
             "callers_left",
@@ -241,9 +263,21 @@
         self.attempts.get_or_create(&[("outcome", outcome.to_string())]).inc();
     }
 
-    /// Counts a retry.
-    pub fn retried(&self) {
+    /// Counts a retry that the retry budget allowed, divided between a number of `daemons`.
+    pub fn retried(&self, daemons: usize) {
         self.retries.inc();
+        self.retry_sharers.set(daemons as i64);
+    }
+
+    /// Counts a retry that the retry budget, divided between a number of `daemons`, did not allow.
+    pub fn retry_denied(&self, daemons: usize) {
+        self.retries_denied.inc();
+        self.retry_sharers.set(daemons as i64);
+    }
+
+    /// Observes the longest time for which memory that a request had reserved showed no use.
+    pub fn memory_unused(&self, time: Duration) {
+        self.memory_unused.observe(time.as_secs_f64());
     }
 
     /// Counts a stream that could not be completed.
--- a/crates/gateway/src/relay/dispatch.rs
+++ b/crates/gateway/src/relay/dispatch.rs
@@ -27,7 +27,7 @@
     placement: Placement,
     helpers: Vec<Helper>,
     /// Memory reservations, released on drop.
-    _tickets: Option<Reservations>,
+    reservations: Option<Reservations>,
     key: Key,
     /// Expected length of a pass of the server as of the last event or the start, if it is known.
     expected_pass: Cell<Option<Duration>>,
@@ -69,7 +69,7 @@
             request: request.clone(),
             placement: placement.clone(),
             helpers,
-            _tickets: reservations,
+            reservations,
             key,
             expected_pass: Cell::new(expected_pass),
             last_progress: Cell::new(None),
@@ -101,6 +101,9 @@
             ledger.mark_late(self.key);
         }
         drop(ledger);
+        if let Some(reservations) = &self.reservations {
+            reservations.record_use();
+        }
         self.gateway.wake_queue();
         self.record_pace();
         if !self.prompt_computed.replace(true) {
--- a/crates/gateway/src/reservation/mod.rs
+++ b/crates/gateway/src/reservation/mod.rs
@@ -18,8 +18,10 @@
 mod held;
 pub mod renewal;
 mod reservations;
+mod usage;
 
 use call::call;
 use held::Held;
 pub use reservations::NoMemory;
 pub use reservations::Reservations;
+use usage::Usage;
--- a/crates/gateway/src/reservation/reservations.rs
+++ b/crates/gateway/src/reservation/reservations.rs
@@ -11,6 +11,7 @@
 use crate::http::Request;
 use crate::placement::Placement;
 use crate::reservation::Held;
+use crate::reservation::Usage;
 use crate::reservation::renewal;
 use crate::reservation::renewal::LIFETIME;
 
@@ -20,6 +21,7 @@
     gateway: Rc<Gateway>,
     held: Vec<Held>,
     renewal: Option<JoinHandle<()>>,
+    usage: Usage,
 }
 
 /// Error for a reservation that a server refused or did not confirm in time.
@@ -50,7 +52,12 @@
         request: &Request,
         parts: &[(runner::Id, Tokens)],
     ) -> Option<Self> {
-        let mut reservations = Self { gateway: gateway.clone(), held: Vec::new(), renewal: None };
+        let mut reservations = Self {
+            gateway: gateway.clone(),
+            held: Vec::new(),
+            renewal: None,
+            usage: Usage::new(gateway.now()),
+        };
         let mut parts = parts.to_vec();
         parts.sort();
         let ticket_id: u64 = rand::random();
@@ -79,7 +86,8 @@
             }
         }
         info!(
-            target: "request", id = request.metadata.id, servers = reservations.held.len();
+            target: "request", id = request.metadata.id, ticket = format!("{ticket_id:016x}"),
+            servers = reservations.server_names();
             "memory reserved"
         );
         reservations.renewal =
@@ -87,6 +95,17 @@
         Some(reservations)
     }
 
+    /// Records a sign that the memory is used.
+    pub fn record_use(&self) {
+        self.usage.record(self.gateway.now());
+    }
+
+    /// Returns the ids of the servers that hold memory, for the log.
+    fn server_names(&self) -> String {
+        let names: Vec<&str> = self.held.iter().map(|held| held.server.id.as_str()).collect();
+        names.join(" ")
+    }
+
     /// Returns the ticket of the reservation at a server.
     pub fn at(&self, server: &runner::Id) -> Option<String> {
         let at_server = self.held.iter().find(|held| held.server.id == *server);
@@ -98,6 +117,15 @@
     fn drop(&mut self) {
         if let Some(renewal) = self.renewal.take() {
             renewal.abort();
+            let unused = self.usage.longest_unused(self.gateway.now());
+            self.gateway.metrics().memory_unused(unused);
+            if let Some(held) = self.held.first() {
+                info!(
+                    target: "request", ticket = held.reservation.ticket,
+                    unused_ms = unused.as_millis() as u64;
+                    "memory released"
+                );
+            }
         }
         for held in self.held.drain(..) {
             let gateway = self.gateway.clone();
