gateway: reserved memory that shows no use is given back in time

Cause: reservations are renewed for as long as the attempt waits, and how long it waits follows from the route alone: 1.5 x 6 s for a first event, the deadline of the request (15 s) for a last attempt or one that may not be repeated. Class: memory is kept for as long as its holder hopes for, not for as long as something uses it. Change: each set of reservations knows when its memory last showed use (Usage). Without a sign it is not renewed beyond the bound of the settings (idleMaxMs) less a second for the release, and the attempt ends then (Dispatch::deadline), which binds each wait of an attempt: first event, next event, a server that is alive on other connections, a body. A stream that may be resumed goes elsewhere then. Other responses show nothing before their end and keep their time.

--- a/crates/gateway/src/gateway/timeouts.rs
+++ b/crates/gateway/src/gateway/timeouts.rs
@@ -34,7 +34,7 @@
     pub fn head_deadline(&self, request: &Request, dispatch: &Dispatch, attempts: u32) -> Moment {
         let last_attempt = attempts + 1 >= request.route.max_attempts;
         if request.route.retry == Retry::Never || last_attempt {
-            return request.deadline;
+            return dispatch.deadline();
         }
         let now = self.now();
         let wait = if request.route.streaming {
@@ -44,7 +44,7 @@
         } else {
             request.time_left(now).mul_f64(NON_STREAMING_WAIT_FRACTION)
         };
-        request.deadline.min(now + wait)
+        dispatch.deadline().min(now + wait)
     }
 
     /// Returns the time until which the next event of a stream is awaited. `last_event_at` is the
@@ -52,7 +52,7 @@
     ///
     /// A server writes to all its streams in turn, so a stream that gets nothing while others do
     /// has lost its connection. A server that prefills a long prompt sends nothing meanwhile. A
-    /// stream that may not be resumed elsewhere is awaited until the deadline of the request.
+    /// stream that may not be resumed elsewhere is awaited until the deadline of the attempt.
     pub fn event_deadline(
         &self,
         request: &Request,
@@ -61,17 +61,18 @@
         attempts: u32,
     ) -> Moment {
         if request.route.retry != Retry::Rest || attempts >= request.route.max_attempts {
-            return request.deadline;
+            return dispatch.deadline();
         }
         let server = &dispatch.placement().server;
         let last_heard = self.last_heard.borrow().get(server).copied().unwrap_or_default();
         let stream_silence = STREAM_SILENCE.max(request.route.target_gap * GAP_FACTOR);
         if last_heard.since(last_event_at) >= stream_silence {
-            return last_event_at + stream_silence;
+            return dispatch.deadline().min(last_event_at + stream_silence);
         }
         let load = self.ledger.borrow().server_load(server, self.now());
         let prefill = Duration::from_secs_f64(load.backlog_ms / 1e3);
-        last_event_at + SERVER_SILENCE.max(request.route.target_gap * GAP_FACTOR) + prefill
+        let silence = SERVER_SILENCE.max(request.route.target_gap * GAP_FACTOR) + prefill;
+        dispatch.deadline().min(last_event_at + silence)
     }
 
     /// Returns the time until which a server that has work counts as alive without sending more.
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -184,8 +184,7 @@
     };
     let wait_until = gateway.head_deadline(request, &dispatch, attempts);
     let sending = send(gateway, request, &server, dispatch.helpers(), None);
-    let Some(exchange) = wait_while_alive(gateway, request, &server.id, wait_until, sending).await
-    else {
+    let Some(exchange) = wait_while_alive(gateway, &dispatch, wait_until, sending).await else {
         dispatch.record_outcome(Outcome::Silent, "no response before the timeout");
         let late = gateway.now() >= request.deadline;
         return if late { AttemptResult::DeadlineExceeded } else { AttemptResult::Failed(None) };
@@ -212,24 +211,24 @@
 }
 
 /// Waits for a response until `wait_until` and, for a streaming request, for as long after that as
-/// the server sends data on other connections. Returns `None` if no response arrives in that time.
+/// the server sends data on other connections, but not beyond the deadline of the attempt. Returns
+/// `None` if no response arrives in that time.
 pub async fn wait_while_alive<T>(
     gateway: &Gateway,
-    request: &Request,
-    server: &runner::Id,
+    dispatch: &Dispatch,
     mut wait_until: Moment,
     response: impl Future<Output = T>,
 ) -> Option<T> {
     let mut response = std::pin::pin!(response);
+    let deadline = dispatch.deadline();
     loop {
-        match timeout_at(gateway.instant(wait_until.min(request.deadline)), response.as_mut()).await
-        {
+        match timeout_at(gateway.instant(wait_until.min(deadline)), response.as_mut()).await {
             Ok(response) => return Some(response),
-            Err(_) if wait_until >= request.deadline => return None,
+            Err(_) if wait_until >= deadline => return None,
             Err(_) => {}
         }
-        let alive_until = gateway.alive_until(server);
-        if !request.route.streaming || alive_until <= gateway.now() {
+        let alive_until = gateway.alive_until(&dispatch.placement().server);
+        if !dispatch.is_streaming() || alive_until <= gateway.now() {
             return None;
         }
         wait_until = alive_until;
@@ -246,6 +245,7 @@
     wait_until: Moment,
 ) -> AttemptResult {
     let verdict = classify(&request.metadata.id, received.head.status, &received.info);
+    dispatch.record_use();
     match verdict {
         Verdict::Foreign => {
             dispatch.record_outcome(
@@ -271,7 +271,7 @@
         )),
         Verdict::Success | Verdict::Failure => {
             let head = received.head.clone();
-            let body = match body::read(gateway, received, wait_until, request.deadline).await {
+            let body = match body::read(gateway, received, wait_until, dispatch.deadline()).await {
                 Ok(body) => body,
                 Err(error) => return end_incomplete(gateway, request, &dispatch, &error),
             };
--- a/crates/gateway/src/relay/dispatch.rs
+++ b/crates/gateway/src/relay/dispatch.rs
@@ -88,11 +88,30 @@
         &self.placement
     }
 
+    /// Returns whether the response is a stream.
+    pub fn is_streaming(&self) -> bool {
+        self.request.route.streaming
+    }
+
     /// Returns the helper servers.
     pub fn helpers(&self) -> &[Helper] {
         &self.helpers
     }
 
+    /// Returns the time at which the attempt ends at the latest: the deadline of its request, or before
+    /// if memory that is reserved for it shows no use.
+    pub fn deadline(&self) -> Moment {
+        let memory = self.reservations.as_ref().map(Reservations::ends_at);
+        memory.map_or(self.request.deadline, |ends_at| ends_at.min(self.request.deadline))
+    }
+
+    /// Records a sign that the server works on the request, and so uses the memory that is reserved.
+    pub fn record_use(&self) {
+        if let Some(reservations) = &self.reservations {
+            reservations.record_use();
+        }
+    }
+
     /// Records that part of the response arrived, and whether it is on time.
     pub fn record_progress(&self, on_time: bool) {
         let mut ledger = self.gateway.ledger().borrow_mut();
@@ -101,9 +120,7 @@
             ledger.mark_late(self.key);
         }
         drop(ledger);
-        if let Some(reservations) = &self.reservations {
-            reservations.record_use();
-        }
+        self.record_use();
         self.gateway.wake_queue();
         self.record_pace();
         if !self.prompt_computed.replace(true) {
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -290,13 +290,12 @@
                 dispatch.helpers(),
                 resume_after.as_deref(),
             );
-            match wait_while_alive(&self.gateway, &self.request, &server.id, wait_until, sending)
-                .await
-            {
+            match wait_while_alive(&self.gateway, &dispatch, wait_until, sending).await {
                 Some(Exchange::Received(received)) => {
                     let status = received.head.status;
                     let verdict = classify(&self.request.metadata.id, status, &received.info);
                     if verdict == Verdict::Success {
+                        dispatch.record_use();
                         self.source = Some(Source::new(dispatch, *received));
                         self.last_event_at = self.gateway.now();
                         return true;
--- a/crates/gateway/src/reservation/held.rs
+++ b/crates/gateway/src/reservation/held.rs
@@ -10,6 +10,7 @@
 use crate::Gateway;
 use crate::dialect::Reservation;
 use crate::fleet::Server;
+use crate::reservation::Usage;
 use crate::reservation::call;
 use crate::reservation::renewal;
 
@@ -27,6 +28,8 @@
     deadline: Moment,
     /// Whether it has been renewed for the last time, since its server was evacuated.
     is_final: Rc<Cell<bool>>,
+    /// Until when the memory stays reserved without a sign of use.
+    usage: Rc<Usage>,
 }
 
 impl Held {
@@ -35,10 +38,11 @@
         server: Server,
         reservation: Reservation,
         deadline: Moment,
+        usage: Rc<Usage>,
         now: Moment,
     ) -> Self {
         let expires_at = Rc::new(Cell::new(now + reservation.hold));
-        Self { server, reservation, expires_at, deadline, is_final: Rc::default() }
+        Self { server, reservation, expires_at, deadline, is_final: Rc::default(), usage }
     }
 
     /// Makes the reservation; returns the status, or `None` if there is no response.
@@ -51,7 +55,8 @@
         call(gateway, server, |g| g.dialect().reserve(&server.id, reservation)).await
     }
 
-    /// Renews the reservation if that is due. In a pause of the server the renewal has to last until
+    /// Renews the reservation if that is due and not past the time until which its memory may show no
+    /// use. In a pause of the server the renewal has to last until
     /// the pause is over, and at an evacuated server for as long as the request may run.
     pub(super) async fn renew_if_due(&self, gateway: &Gateway) {
         let now = gateway.now();
@@ -80,7 +85,9 @@
             return renewal::last(left, request_left).filter(|_| !self.is_final.get());
         }
         let pause = gateway.pause_left(&self.server.id);
-        renewal::due(left, pause, gateway.is_rate_limited(&self.server.id))
+        let lifetime = renewal::due(left, pause, gateway.is_rate_limited(&self.server.id))?;
+        let lifetime = lifetime.min(self.usage.ends_at().since(now));
+        (lifetime > left).then_some(lifetime)
     }
 
     /// Releases the reservation, unless it expires before the server may be called.
--- a/crates/gateway/src/reservation/reservations.rs
+++ b/crates/gateway/src/reservation/reservations.rs
@@ -1,8 +1,10 @@
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::StatusCode;
 use kumquattiller_base::runner;
 use kumquattiller_base::size::Tokens;
+use kumquattiller_base::time::Moment;
 use log::info;
 use tokio::task::JoinHandle;
 
@@ -21,7 +23,7 @@
     gateway: Rc<Gateway>,
     held: Vec<Held>,
     renewal: Option<JoinHandle<()>>,
-    usage: Usage,
+    usage: Rc<Usage>,
 }
 
 /// Error for a reservation that a server refused or did not confirm in time.
@@ -56,7 +58,7 @@
             gateway: gateway.clone(),
             held: Vec::new(),
             renewal: None,
-            usage: Usage::new(gateway.now()),
+            usage: Rc::new(Usage::new(unused_limit(gateway, request), gateway.now())),
         };
         let mut parts = parts.to_vec();
         parts.sort();
@@ -72,8 +74,11 @@
                 return None;
             }
             let ticket = format!("{ticket_id:016x}");
-            let reservation = Reservation { ticket, tokens, hold: LIFETIME };
-            let held = Held::new(server, reservation, request.deadline, gateway.now());
+            let now = gateway.now();
+            let hold = LIFETIME.min(reservations.usage.ends_at().since(now));
+            let reservation = Reservation { ticket, tokens, hold };
+            let usage = reservations.usage.clone();
+            let held = Held::new(server, reservation, request.deadline, usage, now);
             reservations.held.push(held.clone());
             let status = held.make(gateway).await;
             if status != Some(StatusCode::OK) {
@@ -100,6 +105,11 @@
         self.usage.record(self.gateway.now());
     }
 
+    /// Returns the time until which the memory stays reserved without another sign of use.
+    pub fn ends_at(&self) -> Moment {
+        self.usage.ends_at()
+    }
+
     /// Returns the ids of the servers that hold memory, for the log.
     fn server_names(&self) -> String {
         let names: Vec<&str> = self.held.iter().map(|held| held.server.id.as_str()).collect();
@@ -134,6 +144,15 @@
     }
 }
 
+/// Returns the time for which the memory of a request may show no use. A stream shows by its events
+/// that it is used, any other response shows nothing before its end.
+fn unused_limit(gateway: &Gateway, request: &Request) -> Duration {
+    match request.route.streaming {
+        true => gateway.settings().unused_memory_limit(),
+        false => request.time_left(gateway.now()),
+    }
+}
+
 async fn renew(gateway: Rc<Gateway>, held: Vec<Held>) {
     loop {
         tokio::time::sleep(renewal::CHECK_INTERVAL).await;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -17,6 +17,9 @@
 /// connections, tables and socket buffers.
 const UNREAD_DIVISOR: u64 = 4;
 
+/// Time kept for the release of memory before it may no longer stay reserved without being used.
+const RELEASE_TIME: Duration = Duration::from_secs(1);
+
 /// The settings of one daemon.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -41,6 +44,8 @@
     pub config_limit: Duration,
     /// Memory of the VM on which the daemon runs.
     pub memory: Bytes,
+    /// Longest time for which memory may be reserved at a server without being used.
+    pub max_unused_memory: Duration,
     /// Limits of the retry budget.
     pub budget: budget::Bounds,
     /// Region of each availability zone.
@@ -85,6 +90,11 @@
         Bytes::new(self.memory.get() / UNREAD_DIVISOR)
     }
 
+    /// Returns the time without a sign of use after which reserved memory is given back.
+    pub fn unused_memory_limit(&self) -> Duration {
+        self.max_unused_memory - RELEASE_TIME.min(self.max_unused_memory / 2)
+    }
+
     /// Returns how this daemon registers itself.
     pub fn member(&self) -> Member {
         Member {
