gateway: the retry budget is divided between all daemons that are or were known

Cause: the constant part of the budget (0.7 x 122) was divided by the number of daemons whose reports had arrived within two seconds. A daemon that had just started, or that was cut off from its peers, took the parts of all others: 85 retries in ten seconds in place of 3.7. And a daemon that restarts forgets what it sent in the same window. Class: a share of a common limit is taken by who is heard now, in place of who may be using it. Change: the roster, which remembers daemons for ten minutes and until now served cold servers only (peer::Roster), divides the constant part. The part in proportion to a daemon's own requests is as before.

--- a/crates/gateway/src/gateway/cold.rs
+++ b/crates/gateway/src/gateway/cold.rs
@@ -12,7 +12,6 @@
 use crate::Gateway;
 use crate::config::ColdStart;
 use crate::fleet;
-use crate::freshness::Kind;
 use crate::rate_limit;
 use crate::rate_limit::Change;
 use crate::rate_limit::ColdStatement;
@@ -155,10 +154,8 @@
             return;
         }
         let now = self.now();
-        let mut roster = self.roster.borrow_mut();
-        if self.copy_revision(Kind::Daemons).is_some() && roster.is_due(now) {
-            roster.observe(self.peers.borrow().ids(), now);
-        }
+        self.update_roster();
+        let roster = self.roster.borrow();
         let (bound, join_delay) = (self.settings.cold_bound, self.join_delay());
         let terms = |id: &runner::Id| {
             let fleet = self.fleet.borrow();
--- a/crates/gateway/src/gateway/rate_limits.rs
+++ b/crates/gateway/src/gateway/rate_limits.rs
@@ -10,6 +10,7 @@
 
 use crate::Gateway;
 use crate::fleet;
+use crate::freshness::Kind;
 use crate::load::report_interval;
 use crate::placement::Placement;
 use crate::rate_limit;
@@ -93,6 +94,14 @@
         limits.update_shares(&self.settings.name, sending.into_iter(), self.join_delay(), now);
     }
 
+    /// Compares the roster with the daemons that are known, if that is due and there is a list of them.
+    pub(super) fn update_roster(&self) {
+        let (now, mut roster) = (self.now(), self.roster.borrow_mut());
+        if self.copy_revision(Kind::Daemons).is_some() && roster.is_due(now) {
+            roster.observe(self.peers.borrow().ids(), now);
+        }
+    }
+
     /// Returns the time in which daemons hear of one another.
     pub(super) fn join_delay(&self) -> Duration {
         (report_interval(self.peers.borrow().len()) * JOIN_INTERVALS).max(MIN_JOIN_DELAY)
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -8,6 +8,7 @@
 use log::info;
 
 use crate::Gateway;
+use crate::budget;
 use crate::dialect::Helper;
 use crate::fleet::Server;
 use crate::http::Request;
@@ -59,10 +60,11 @@
     /// Withdraws one retry from the retry budget; returns `false` if the budget is exhausted.
     pub fn withdraw_retry(&self, request: &Request) -> bool {
         let now = self.now();
-        let daemons = self.peers.borrow().alive(now) + 1;
+        let share = self.retry_share(now);
+        let daemons = share.daemons;
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(request.service.name.clone()).or_default();
-        let allowed = budget.withdraw(now, &self.settings.budget, daemons);
+        let allowed = budget.withdraw(now, &self.settings.budget, share);
         let used = budget.used();
         if allowed {
             self.metrics.retried(daemons);
@@ -74,6 +76,13 @@
         allowed
     }
 
+    /// Returns this daemon's part of the constant allowance of the retry budget.
+    fn retry_share(&self, now: Moment) -> budget::Share {
+        let roster = self.roster.borrow();
+        let settled_for = roster.settled_for(self.join_delay(), now);
+        budget::Share { daemons: roster.daemons(), settled_for }
+    }
+
     /// Chooses the servers for a request, excluding those in `tried`.
     ///
     /// # Errors
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -86,8 +86,8 @@
     pub(super) backoffs: RefCell<backoff::Table>,
     pub(super) paces: RefCell<pace::Table>,
     pub(super) rate_limits: RefCell<rate_limit::Table>,
-    /// The daemons between which the rates of cold servers are divided.
-    pub(super) roster: RefCell<rate_limit::Roster>,
+    /// The daemons between which the rates of cold servers and the retry budget are divided.
+    pub(super) roster: RefCell<peer::Roster>,
     /// The prompt prefixes that the servers probably hold.
     pub(super) prefixes: RefCell<prefix::Table>,
     /// When each server last sent part of a response.
@@ -348,6 +348,7 @@
         self.last_heard.borrow_mut().retain(|id, _| known(id));
         self.suspects.borrow_mut().expire(now);
         drop(fleet);
+        self.update_roster();
         self.update_rate_shares();
         self.update_cold_shares();
         self.expire_queue(now);
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -11,6 +11,9 @@
 //!
 //! A daemon that does not watch the store itself learns from the reports that its copy of a kind
 //! lacks a change, and asks a peer that has it for the changes since its own revision.
+//!
+//! What all daemons together may use of something is divided by the [`Roster`], which does not forget
+//! those that are silent or cut off: they go on using their parts.
 
 mod exchange;
 mod fetch;
@@ -21,6 +24,7 @@
 mod prefix;
 mod queue;
 mod rate_limit;
+mod roster;
 mod sync;
 mod table;
 mod transfer;
@@ -43,6 +47,8 @@
 pub use queue::Waiting;
 pub use rate_limit::RateLimit;
 pub use rate_limit::RateStatement;
+pub use roster::MEMORY;
+pub use roster::Roster;
 pub use sync::serve as serve_changes;
 pub use sync::start as fetch_changes;
 pub use table::Recipients;
--- a/crates/gateway/src/rate_limit/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -48,11 +48,16 @@
 
     /// Returns whether the daemons have been known for `join_delay`, in which they hear of this one.
     pub fn is_settled(&self, join_delay: Duration, now: Moment) -> bool {
-        self.begun_at.is_some_and(|at| now.since(at) >= join_delay)
+        self.settled_for(join_delay, now).is_some()
+    }
+
+    /// Returns for how long the daemons have been known beyond `join_delay`, or `None` before that.
+    pub fn settled_for(&self, join_delay: Duration, now: Moment) -> Option<Duration> {
+        self.begun_at.and_then(|at| now.since(at).checked_sub(join_delay))
     }
 
     /// Returns when the daemons will have been known for `join_delay`.
-    pub(super) fn settles_at(&self, join_delay: Duration, now: Moment) -> Moment {
+    pub fn settles_at(&self, join_delay: Duration, now: Moment) -> Moment {
         self.begun_at.unwrap_or(now) + join_delay
     }
 
@@ -62,13 +67,13 @@
     }
 
     /// Returns a number that changes with the daemons.
-    pub(super) const fn generation(&self) -> u64 {
+    pub const fn generation(&self) -> u64 {
         self.generation
     }
 
     /// Returns whether `own` is one of `sharers` daemons that may send to a cold server. The choice
     /// does not depend on the incarnation of the server, which some daemons may not know yet.
-    pub(super) fn is_sharer(&self, own: &daemon::Id, server: &runner::Id, sharers: usize) -> bool {
+    pub fn is_sharer(&self, own: &daemon::Id, server: &runner::Id, sharers: usize) -> bool {
         let members = self.members.keys().map(daemon::Id::as_str);
         Job::named(server.as_str()).is_chosen(own.as_str(), sharers, members)
     }
--- a/crates/gateway/src/rate_limit/cold.rs
+++ b/crates/gateway/src/rate_limit/cold.rs
@@ -4,12 +4,12 @@
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
 
+use crate::peer::Roster;
 use crate::rate_limit::Allowance;
 use crate::rate_limit::ColdStatement;
 use crate::rate_limit::Division;
 use crate::rate_limit::Origin;
 use crate::rate_limit::Rate;
-use crate::rate_limit::Roster;
 use crate::rate_limit::Terms;
 
 /// Longest time for which a server may be cold.
--- a/crates/gateway/src/rate_limit/entry.rs
+++ b/crates/gateway/src/rate_limit/entry.rs
@@ -6,13 +6,13 @@
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
 
+use crate::peer::Roster;
 use crate::rate_limit::Allowance;
 use crate::rate_limit::Cold;
 use crate::rate_limit::ColdStatement;
 use crate::rate_limit::Origin;
 use crate::rate_limit::Rate;
 use crate::rate_limit::Report;
-use crate::rate_limit::Roster;
 use crate::rate_limit::Statement;
 use crate::rate_limit::Terms;
 
--- a/crates/gateway/src/rate_limit/mod.rs
+++ b/crates/gateway/src/rate_limit/mod.rs
@@ -13,7 +13,7 @@
 //! A server that starts cold tolerates a rate that its service states, until a time. Its bound holds
 //! over every second and over daemons that hear nothing of one another, at loads of a few requests a
 //! second for each server. Therefore the rate is divided between all daemons that are or were known
-//! ([`Roster`]), whether or not they use the server, by [`Division`]. If both limits of a server
+//! ([`Roster`](crate::peer::Roster)), whether or not they use the server, by [`Division`]. If both limits of a server
 //! hold, a request has to be within both.
 
 mod allowance;
@@ -26,7 +26,6 @@
 mod origin;
 mod rate;
 mod report;
-mod roster;
 mod table;
 mod terms;
 
@@ -45,7 +44,5 @@
 pub use rate::Rate;
 pub use report::Report;
 pub use report::Statement;
-pub use roster::MEMORY;
-pub use roster::Roster;
 pub use table::Table;
 pub use terms::Terms;
--- a/crates/gateway/src/rate_limit/table.rs
+++ b/crates/gateway/src/rate_limit/table.rs
@@ -6,13 +6,13 @@
 use kumquattiller_base::time::Moment;
 
 use crate::fleet::MAX_REGISTRATION_DELAY;
+use crate::peer::Roster;
 use crate::rate_limit::Change;
 use crate::rate_limit::ColdStatement;
 use crate::rate_limit::Entry;
 use crate::rate_limit::Origin;
 use crate::rate_limit::Rate;
 use crate::rate_limit::Report;
-use crate::rate_limit::Roster;
 use crate::rate_limit::Terms;
 
 /// Time for which the end of a limit is reported to the peers.
