gateway: a daemon that has just started may retry

Cause: gave a daemon no constant part of the retry budget until it had known the others for half a second, seen once a second. Change: the daemons count from the moment at which their list arrives; a daemon without a list may make one retry. The property over fleets of up to 24 daemons, with the two restarts in a window and without lists, holds as before.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -5,8 +5,8 @@
 //!
 //! The constant allowance is divided between all daemons that are or were known, whether or not they
 //! are heard now: one that is cut off goes on using its share. A daemon that does not know the others
-//! has none, and one that has just started has a smaller one, since it does not know what it sent
-//! before in the same window. Both shares together are within the allowance, also if all daemons
+//! yet has one retry, and one that has just started has a smaller share, since it does not know what it
+//! sent before in the same window. Both shares together are within the allowance, also if all daemons
 //! restart at once, twice in a window.
 
 use std::collections::VecDeque;
@@ -38,18 +38,18 @@
     /// Number of daemons that may use a part.
     pub daemons: usize,
     /// For how long this daemon has known the others; `None` if it does not know them yet.
-    pub settled_for: Option<Duration>,
+    pub known_for: Option<Duration>,
 }
 
 impl Share {
     /// Returns the number of retries that the daemon may make in a window beyond its ratio.
     fn allowance(self, bounds: &Bounds) -> f64 {
-        let fraction = match self.settled_for {
-            None => 0.0,
-            Some(time) if time < bounds.window => START_FRACTION,
-            Some(_) => EXTRA_FRACTION,
-        };
-        bounds.extra * fraction / self.daemons.max(1) as f64
+        let divided = |fraction: f64| bounds.extra * fraction / self.daemons.max(1) as f64;
+        match self.known_for {
+            None => divided(START_FRACTION).min(1.0),
+            Some(time) if time < bounds.window => divided(START_FRACTION),
+            Some(_) => divided(EXTRA_FRACTION),
+        }
     }
 }
 
--- a/crates/gateway/src/gateway/copies.rs
+++ b/crates/gateway/src/gateway/copies.rs
@@ -78,8 +78,10 @@
             update.shown_at,
             update.source,
         );
-        if kind == Kind::Evacuations {
-            self.note_evacuations_confirmed(before.is_none());
+        match kind {
+            Kind::Evacuations => self.note_evacuations_confirmed(before.is_none()),
+            Kind::Daemons => self.update_roster(),
+            Kind::Config | Kind::Servers => {}
         }
         let is_new = before.is_some() && last_change > before;
         let is_urgent = is_new || was_overdue || self.reports_are_rare();
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -79,8 +79,7 @@
     /// Returns this daemon's part of the constant allowance of the retry budget.
     fn retry_share(&self, now: Moment) -> budget::Share {
         let roster = self.roster.borrow();
-        let settled_for = roster.settled_for(self.join_delay(), now);
-        budget::Share { daemons: roster.daemons(), settled_for }
+        budget::Share { daemons: roster.daemons(), known_for: roster.known_for(now) }
     }
 
     /// Chooses the servers for a request, excluding those in `tried`.
--- a/crates/gateway/src/peer/roster.rs
+++ b/crates/gateway/src/peer/roster.rs
@@ -48,12 +48,12 @@
 
     /// Returns whether the daemons have been known for `join_delay`, in which they hear of this one.
     pub fn is_settled(&self, join_delay: Duration, now: Moment) -> bool {
-        self.settled_for(join_delay, now).is_some()
+        self.known_for(now).is_some_and(|time| time >= join_delay)
     }
 
-    /// Returns for how long the daemons have been known beyond `join_delay`, or `None` before that.
-    pub fn settled_for(&self, join_delay: Duration, now: Moment) -> Option<Duration> {
-        self.begun_at.and_then(|at| now.since(at).checked_sub(join_delay))
+    /// Returns for how long the daemons have been known, or `None` if they are not known yet.
+    pub fn known_for(&self, now: Moment) -> Option<Duration> {
+        self.begun_at.map(|at| now.since(at))
     }
 
     /// Returns when the daemons will have been known for `join_delay`.
--- a/crates/gateway/tests/testsuite/retry_budget.rs
+++ b/crates/gateway/tests/testsuite/retry_budget.rs
@@ -17,8 +17,6 @@
 const SEED: u64 = 0x5eed_0102;
 /// The limits.
 const BOUNDS: Bounds = Bounds { ratio: 0.2, extra: 100.0, window: Duration::from_secs(10) };
-/// Time in which daemons hear of one another.
-const JOIN_DELAY: Duration = Duration::from_millis(500);
 /// Time between two steps.
 const STEP: Duration = Duration::from_millis(20);
 
@@ -66,8 +64,7 @@
 
     /// Makes as many retries as the budget allows and returns their number.
     fn retry(&mut self, now: Moment) -> usize {
-        let settled_for = self.roster.settled_for(JOIN_DELAY, now);
-        let share = Share { daemons: self.roster.daemons(), settled_for };
+        let share = Share { daemons: self.roster.daemons(), known_for: self.roster.known_for(now) };
         std::iter::from_fn(|| self.budget.withdraw(now, &BOUNDS, share).then_some(())).count()
     }
 }
@@ -124,7 +121,7 @@
 /// A daemon that knows the others and has run for a window retries as often as before it shared.
 #[test]
 fn daemons_that_run_for_long_use_the_budget() {
-    let share = Share { daemons: 4, settled_for: Some(BOUNDS.window) };
+    let share = Share { daemons: 4, known_for: Some(BOUNDS.window) };
     let mut budget = Budget::default();
     (0..100).for_each(|_| budget.record_request(Moment::ZERO, &BOUNDS));
     let made = (0..100).filter(|_| budget.withdraw(Moment::ZERO, &BOUNDS, share)).count();
@@ -133,7 +130,7 @@
 
 #[test]
 fn a_daemon_that_does_not_know_the_others_retries_in_proportion_to_its_requests() {
-    let share = Share { daemons: 1, settled_for: None };
+    let share = Share { daemons: 1, known_for: None };
     let mut budget = Budget::default();
     (0..100).for_each(|_| budget.record_request(Moment::ZERO, &BOUNDS));
     let made = (0..100).filter(|_| budget.withdraw(Moment::ZERO, &BOUNDS, share)).count();
