gateway: a stream goes on only with a response of its own kind

Callers of systems like ours found the text of an error in the middle of their stream, or the stream ended as if it were complete. Cause: any success with the right id and a signature counted as the rest of the stream. Change: the rest has status 200 and the media type of the stream that has begun; parameters may differ.

--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -2,7 +2,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::HeaderMap;
 use hyper::Response;
+use hyper::StatusCode;
+use hyper::header;
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
 use log::info;
@@ -45,6 +48,8 @@
     request: Rc<Request>,
     source: Option<Source>,
     splitter: Splitter,
+    /// Type of its content.
+    media_type: Option<String>,
     /// Servers that it was placed on.
     tried: Vec<runner::Id>,
     attempts: u32,
@@ -72,6 +77,7 @@
         tried: history.tried,
         gateway,
         request,
+        media_type: media_type(&received.head.headers),
         source: Some(Source::new(dispatch, received)),
         splitter: Splitter::default(),
         attempts: history.attempts,
@@ -216,7 +222,7 @@
         let Some(source) = self.source.take() else {
             return;
         };
-        source.dispatch.record_success(hyper::StatusCode::OK);
+        source.dispatch.record_success(StatusCode::OK);
         let first_event_at = self.first_event_at.unwrap_or(self.last_event_at);
         info!(
             target: "request", id = self.request.metadata.id, route = self.request.route.name,
@@ -253,6 +259,12 @@
         Err(Broken)
     }
 
+    /// Returns whether a response may be the rest of the stream.
+    fn is_continued_by(&self, received: &Received) -> bool {
+        let is_same_type = media_type(&received.head.headers) == self.media_type;
+        received.head.status == StatusCode::OK && is_same_type
+    }
+
     /// Resumes the stream at another server, or at one tried before if no other accepts it.
     /// Returns whether it was resumed.
     async fn resume(&mut self) -> bool {
@@ -294,7 +306,7 @@
                 Some(Exchange::Received(received)) => {
                     let status = received.head.status;
                     let verdict = classify(&self.request.metadata.id, status, &received.info);
-                    if verdict == Verdict::Success {
+                    if verdict == Verdict::Success && self.is_continued_by(&received) {
                         dispatch.record_use();
                         self.source = Some(Source::new(dispatch, *received));
                         self.last_event_at = self.gateway.now();
@@ -322,6 +334,13 @@
     }
 }
 
+/// Returns the media type of a response without its parameters, in lower case.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let content_type = headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    let (essence, _parameters) = content_type.split_once(';').unwrap_or((content_type, ""));
+    Some(essence.trim().to_ascii_lowercase())
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.ended {
