gateway: a response that names no request counts only on a new connection

Callers of systems like ours were told 'not run, try again' for requests that a runner had run or was running (REFUSED), or such a request ran at a second runner (TWICE), since a faulty runner wrote an earlier refusal once more on a kept connection. Cause: a response without an id was attributed to the request that waits on its connection, whatever had been on it before. Change: the verdict knows the place of a response on its connection; on one that has been used, a response without an id belongs to no request. The request may have run then: it is repeated only if it may run twice, and never reported as not run.

--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -36,5 +36,6 @@
 pub use send::Exchange;
 pub use send::Received;
 pub use send::send;
+pub use verdict::Position;
 pub use verdict::Verdict;
 pub use verdict::classify;
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -244,7 +244,8 @@
     received: Received,
     wait_until: Moment,
 ) -> AttemptResult {
-    let verdict = classify(&request.metadata.id, received.head.status, &received.info);
+    let (status, position) = (received.head.status, received.position);
+    let verdict = classify(&request.metadata.id, status, &received.info, position);
     dispatch.record_use();
     match verdict {
         Verdict::Foreign => {
--- a/crates/gateway/src/http/send.rs
+++ b/crates/gateway/src/http/send.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Exclusion;
 use crate::fleet::Server;
 use crate::http::Connection;
+use crate::http::Position;
 use crate::http::Request;
 
 /// Time limit for opening a connection to a server.
@@ -34,6 +35,8 @@
     pub info: dialect::ResponseInfo,
     /// The response body.
     pub body: Incoming,
+    /// Place of the response on the connection.
+    pub position: Position,
 }
 
 /// The result of sending a request to a server.
@@ -73,7 +76,8 @@
     };
     if let Some(pooled) = gateway.pool().take(&server.id, gateway.now(), max_idle) {
         let outgoing = build_request(gateway, request, server, helpers, resume_after);
-        if let Some(result) = exchange(gateway, request, server, pooled, outgoing).await {
+        let result = exchange(gateway, request, server, pooled, outgoing, Position::Later).await;
+        if let Some(result) = result {
             return result;
         }
     }
@@ -89,7 +93,8 @@
     }
     let outgoing = build_request(gateway, request, server, helpers, resume_after);
     let not_sent = || Exchange::NotSent(io::ErrorKind::NotConnected.into());
-    exchange(gateway, request, server, connection, outgoing).await.unwrap_or_else(not_sent)
+    let result = exchange(gateway, request, server, connection, outgoing, Position::First).await;
+    result.unwrap_or_else(not_sent)
 }
 
 /// Sends a request on a connection; returns `None` if the connection closed before anything was
@@ -100,6 +105,7 @@
     server: &Server,
     mut connection: Connection,
     outgoing: hyper::Request<Full<Bytes>>,
+    position: Position,
 ) -> Option<Exchange> {
     let sent_at = gateway.now();
     match connection.send(outgoing).await {
@@ -110,7 +116,7 @@
             if info.rate_limit.is_some() || info.id.as_ref() == Some(&request.metadata.id) {
                 gateway.apply_rate_limit(server, info.rate_limit, sent_at);
             }
-            Some(Exchange::Received(Box::new(Received { connection, head, info, body })))
+            Some(Exchange::Received(Box::new(Received { connection, head, info, body, position })))
         }
         Err(mut error) => {
             if error.take_message().is_none() {
--- a/crates/gateway/src/http/verdict.rs
+++ b/crates/gateway/src/http/verdict.rs
@@ -12,14 +12,32 @@
     Failure,
     /// The server proves that the request did not run.
     NotRun,
-    /// The response belongs to another request, or is not signed or names no request although it
-    /// reports success.
+    /// The response belongs to another request, or may do so, or is not signed although it reports
+    /// success.
     Foreign,
 }
 
+/// Place of a response on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Position {
+    /// Nothing was asked on the connection before, so that the response can belong to no other request.
+    First,
+    /// A server may have written an earlier response once more.
+    Later,
+}
+
 /// Classifies a response to the request with the id `request`.
-pub fn classify(request: &str, status: StatusCode, info: &ResponseInfo) -> Verdict {
-    if info.id.as_deref().is_some_and(|id| id != request) {
+pub fn classify(
+    request: &str,
+    status: StatusCode,
+    info: &ResponseInfo,
+    position: Position,
+) -> Verdict {
+    let is_other = match &info.id {
+        Some(id) => id != request,
+        None => position == Position::Later,
+    };
+    if is_other {
         return Verdict::Foreign;
     }
     if info.not_run {
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -47,7 +47,7 @@
 
 impl Source {
     pub fn new(dispatch: Dispatch, received: Received) -> Self {
-        let Received { connection, head, info, body } = received;
+        let Received { connection, head, info, body, .. } = received;
         let has_stated_end = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
         Self {
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -305,7 +305,8 @@
             match wait_while_alive(&self.gateway, &dispatch, wait_until, sending).await {
                 Some(Exchange::Received(received)) => {
                     let status = received.head.status;
-                    let verdict = classify(&self.request.metadata.id, status, &received.info);
+                    let (id, position) = (&self.request.metadata.id, received.position);
+                    let verdict = classify(id, status, &received.info, position);
                     if verdict == Verdict::Success && self.is_continued_by(&received) {
                         dispatch.record_use();
                         self.source = Some(Source::new(dispatch, *received));
--- a/crates/gateway/tests/testsuite/decisions.rs
+++ b/crates/gateway/tests/testsuite/decisions.rs
@@ -8,6 +8,7 @@
 use kumquattiller_gateway::dialect::ResponseInfo;
 use kumquattiller_gateway::health::Health;
 use kumquattiller_gateway::health::Outcome;
+use kumquattiller_gateway::http::Position;
 use kumquattiller_gateway::http::Verdict;
 use kumquattiller_gateway::http::classify;
 use kumquattiller_gateway::http::memory_retry_delay;
@@ -77,7 +78,17 @@
 #[test_case(503, response_info(Some("r"), true, false), Verdict::Failure; "refused without proof")]
 #[test_case(500, response_info(Some("r"), true, false), Verdict::Failure; "failed")]
 fn verdict(status: u16, info: ResponseInfo, expected: Verdict) {
-    assert_eq!(classify("r", StatusCode::from_u16(status).unwrap(), &info), expected);
+    let status = StatusCode::from_u16(status).unwrap();
+    assert_eq!(classify("r", status, &info, Position::First), expected);
+}
+
+#[test_case(503, response_info(None, false, true), Verdict::Foreign; "a refusal that names no request")]
+#[test_case(500, response_info(None, true, false), Verdict::Foreign; "a failure that names no request")]
+#[test_case(503, response_info(Some("r"), false, true), Verdict::NotRun; "a refusal that names the request")]
+#[test_case(200, response_info(Some("r"), true, false), Verdict::Success; "whole and signed")]
+fn verdict_on_a_connection_that_was_kept(status: u16, info: ResponseInfo, expected: Verdict) {
+    let status = StatusCode::from_u16(status).unwrap();
+    assert_eq!(classify("r", status, &info, Position::Later), expected);
 }
 
 /// Guards against refusing requests too early during a stop. When all daemons were stopped at
