gateway: memory at an evacuated server does not outlast its daemon

Cause: at a server of an evacuated zone a reservation was renewed once for all the time that its request had left, so that no later call reached the zone. The bound on evacuations speaks of requests, attempts of clients; calls for a reservation of a request that runs there are none (docs/design/hard-load.md said so already).

--- a/crates/gateway/src/reservation/held.rs
+++ b/crates/gateway/src/reservation/held.rs
@@ -24,10 +24,6 @@
     pub(super) server: Server,
     pub(super) reservation: Reservation,
     expires_at: Rc<Cell<Moment>>,
-    /// Deadline of the request.
-    deadline: Moment,
-    /// Whether it has been renewed for the last time, since its server was evacuated.
-    is_final: Rc<Cell<bool>>,
     /// Until when the memory stays reserved without a sign of use.
     usage: Rc<Usage>,
 }
@@ -37,12 +33,11 @@
     pub(super) fn new(
         server: Server,
         reservation: Reservation,
-        deadline: Moment,
         usage: Rc<Usage>,
         now: Moment,
     ) -> Self {
         let expires_at = Rc::new(Cell::new(now + reservation.hold));
-        Self { server, reservation, expires_at, deadline, is_final: Rc::default(), usage }
+        Self { server, reservation, expires_at, usage }
     }
 
     /// Makes the reservation; returns the status, or `None` if there is no response.
@@ -56,12 +51,10 @@
     }
 
     /// Renews the reservation if that is due and not past the time until which its memory may show no
-    /// use. In a pause of the server the renewal has to last until
-    /// the pause is over, and at an evacuated server for as long as the request may run.
+    /// use. In a pause of the server the renewal has to last until the pause is over.
     pub(super) async fn renew_if_due(&self, gateway: &Gateway) {
         let now = gateway.now();
-        let is_evacuated = gateway.is_evacuated(&self.server);
-        let Some(hold) = self.renewal_due(gateway, is_evacuated, now) else {
+        let Some(hold) = self.renewal_due(gateway, now) else {
             return;
         };
         if !gateway.allow_call(&self.server.id) {
@@ -69,21 +62,14 @@
         }
         let renewed = Reservation { hold, ..self.reservation.clone() };
         match self.reserve(gateway, &renewed).await {
-            Some(StatusCode::OK) => {
-                self.expires_at.set(now + hold);
-                self.is_final.set(is_evacuated);
-            }
+            Some(StatusCode::OK) => self.expires_at.set(now + hold),
             _ => warn!(target: "fleet", server:% = self.server.id; "reservation was not renewed"),
         }
     }
 
     /// Returns the lifetime for which the reservation is renewed now, if that is due.
-    fn renewal_due(&self, gateway: &Gateway, is_evacuated: bool, now: Moment) -> Option<Duration> {
+    fn renewal_due(&self, gateway: &Gateway, now: Moment) -> Option<Duration> {
         let left = self.expires_at.get().since(now);
-        if is_evacuated {
-            let request_left = self.deadline.since(now);
-            return renewal::last(left, request_left).filter(|_| !self.is_final.get());
-        }
         let pause = gateway.pause_left(&self.server.id);
         let lifetime = renewal::due(left, pause, gateway.is_rate_limited(&self.server.id))?;
         let lifetime = lifetime.min(self.usage.ends_at().since(now));
--- a/crates/gateway/src/reservation/mod.rs
+++ b/crates/gateway/src/reservation/mod.rs
@@ -14,8 +14,8 @@
 //! A server that has asked for a pause gets no new reservation. One that it already holds is renewed
 //! once, until after the pause, and released when the server may be called.
 //!
-//! A server in an evacuated zone gets no new reservation either. One that it already holds is renewed
-//! once for all the time that its request has left, and released at the end of the request.
+//! A server in an evacuated zone gets no new reservation either. One that it already holds is renewed as
+//! before until its request ends, so that it does not outlast a daemon that dies.
 
 mod call;
 mod held;
--- a/crates/gateway/src/reservation/renewal.rs
+++ b/crates/gateway/src/reservation/renewal.rs
@@ -16,14 +16,6 @@
 /// Interval at which renewals that are due are looked for.
 pub(super) const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Returns the lifetime for which a reservation at a server in an evacuated zone is renewed for the
-/// last time: all that its request has left, so that the server needs no later call. Returns `None`
-/// if it lasts as long already, or has expired. It expires in `left`.
-pub fn last(left: Duration, request_left: Duration) -> Option<Duration> {
-    let lifetime = request_left.min(MAX_LIFETIME);
-    (!left.is_zero() && left < lifetime).then_some(lifetime)
-}
-
 /// Returns the lifetime for which a reservation is renewed now, or `None` if it is not due. The
 /// reservation expires in `left`; `pause` is the time for which its server wants no requests, and
 /// `is_limited` whether it limits its rate.
--- a/crates/gateway/src/reservation/reservations.rs
+++ b/crates/gateway/src/reservation/reservations.rs
@@ -78,7 +78,7 @@
             let hold = LIFETIME.min(reservations.usage.ends_at().since(now));
             let reservation = Reservation { ticket, tokens, hold };
             let usage = reservations.usage.clone();
-            let held = Held::new(server, reservation, request.deadline, usage, now);
+            let held = Held::new(server, reservation, usage, now);
             reservations.held.push(held.clone());
             let status = held.make(gateway).await;
             if status != Some(StatusCode::OK) {
