gateway: a stream that may be continued passes on no header of its first server's whole body

Cause: the first server stated Content-Length, broke off, and a longer run continued the stream; hyper ended it at that length. Change: where another server may continue a stream, length, range, digest and entity tag of the first response are not passed on; trailers never were. Other responses keep them.

--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -6,6 +6,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header;
+use hyper::header::HeaderName;
 use kumquattiller_base::runner;
 use kumquattiller_base::time::Moment;
 use log::info;
@@ -33,6 +34,19 @@
 /// that a request crashes ends with the first events at the latest.
 const EXONERATION_TIME: Duration = Duration::from_millis(250);
 
+/// Headers that speak of the whole body of a response. They are not passed on where another server may
+/// continue the stream.
+const WHOLE_BODY_HEADERS: [HeaderName; 8] = [
+    header::CONTENT_LENGTH,
+    header::CONTENT_RANGE,
+    header::ACCEPT_RANGES,
+    header::ETAG,
+    HeaderName::from_static("content-md5"),
+    HeaderName::from_static("content-digest"),
+    HeaderName::from_static("digest"),
+    HeaderName::from_static("repr-digest"),
+];
+
 /// The attempts of a request until its stream begins, including the current one.
 #[derive(Debug)]
 pub struct History {
@@ -71,7 +85,10 @@
     received: Received,
 ) -> Response<Body> {
     let status = received.head.status;
-    let headers = gateway.dialect().response_headers(&received.head.headers);
+    let mut headers = gateway.dialect().response_headers(&received.head.headers);
+    if request.route.retry == Retry::Rest {
+        WHOLE_BODY_HEADERS.iter().for_each(|name| _ = headers.remove(name));
+    }
     let last_event_at = gateway.now();
     let relay = Relay {
         tried: history.tried,
