--- a/crates/gateway/src/gateway/role.rs
+++ b/crates/gateway/src/gateway/role.rs
@@ -40,11 +40,12 @@
         }
     }
 
-    /// Waits until this daemon is no longer a listener, the copy of a kind is overdue, or the store
-    /// has lost the registration of this daemon.
+    /// Waits until this daemon is no longer a listener, the copy of a kind is overdue, or, for the copy of
+    /// the daemons, the store has lost the registration of this daemon.
     pub async fn wait_while_listening(&self, kind: Kind) {
         let changed = async {
-            while self.role() == Role::Listener && self.is_registered() {
+            let is_lost = || kind == Kind::Daemons && !self.is_registered();
+            while self.role() == Role::Listener && !is_lost() {
                 tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
             }
         };
