--- a/crates/gateway/src/reservation/mod.rs
+++ b/crates/gateway/src/reservation/mod.rs
@@ -8,7 +8,7 @@
 //! request are made one after the other, ordered by server id. No server queues a reservation:
 //! either all succeed at once or all are released.
 //!
-//! Memory that shows no use for too long is given back ([`Usage`]): the reservations are not renewed
+//! Memory that shows no use for too long is given back (`Usage`): the reservations are not renewed
 //! beyond that time, and the attempt ends then (`Dispatch::deadline`), whatever it waits for.
 //!
 //! A server that has asked for a pause gets no new reservation. One that it already holds is renewed
