gateway: a live peer that does not read is told from a dead one

A server that paused while it read a long request was cut off as well.

Cause: TCP_USER_TIMEOUT (2 s), set to find dead peers, also ends a connection whose live peer keeps its window closed, however many of the system's window probes it acknowledges. Ruled out: the budget of unread bytes (no line "slow caller cut off") and hyper's idle timeout (15 s).

Change: socket::Table looks every 250 ms at the connections on which data was written (TCP_INFO) and extends the timeout of a peer that has acknowledged something since it stopped taking data; when the acknowledgements end, the system ends the connection. A finished connection is kept until its data is taken, and a stopping daemon waits for such callers. Dead peers are gone after 2 s with an open window and 6 s with a closed one.

Not changed: exchanges between daemons (1 s for all) and crates/entry.

--- a/crates/gateway/src/gateway/shutdown.rs
+++ b/crates/gateway/src/gateway/shutdown.rs
@@ -32,8 +32,8 @@
         self.stop.get().restart_delay(now)
     }
 
-    /// Starts the graceful stop. Returns when all requests have ended and their responses have been
-    /// written, or shortly before the grace period ends.
+    /// Starts the graceful stop. Returns when all requests have ended, their responses have been
+    /// written and no live caller is behind with reading, or shortly before the grace period ends.
     pub async fn shut_down(&self) {
         let mut stop = self.stop.get();
         stop.begin(self.now());
@@ -43,7 +43,8 @@
             let phase = self.phase();
             self.phase.send_if_modified(|old| std::mem::replace(old, phase) != phase);
             let idle = self.ledger.borrow().is_empty() && self.active_connections.get() == 0;
-            let may_exit = idle && matches!(phase, Phase::Finishing | Phase::Over);
+            let is_taken = self.sockets.stalled() == 0;
+            let may_exit = idle && is_taken && matches!(phase, Phase::Finishing | Phase::Over);
             if may_exit || stop.must_exit(self.now()) {
                 break;
             }
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -45,6 +45,7 @@
 use crate::queue;
 use crate::rate_limit;
 use crate::settings::Settings;
+use crate::socket;
 use crate::stop::Phase;
 use crate::stop::Stop;
 use crate::suspect::Suspects;
@@ -103,6 +104,8 @@
     report_requested: Notify,
     pub(super) queue: queue::Shared,
     pub(super) pool: Pool,
+    /// The connections of callers and to servers.
+    pub(super) sockets: socket::Table,
     /// Memory for the bodies of responses that are being read.
     response_memory: ResponseMemory,
     /// Responses that callers have not read yet.
@@ -163,6 +166,7 @@
             report_requested: Notify::new(),
             queue: queue::Shared::default(),
             pool: Pool::default(),
+            sockets: socket::Table::default(),
             response_memory: ResponseMemory::default(),
             unread,
             metrics,
@@ -225,6 +229,11 @@
         &self.pool
     }
 
+    /// Returns the connections of callers and to servers.
+    pub const fn sockets(&self) -> &socket::Table {
+        &self.sockets
+    }
+
     /// Returns the memory for the bodies of responses.
     pub const fn response_memory(&self) -> &ResponseMemory {
         &self.response_memory
@@ -327,6 +336,7 @@
 
     fn remove_expired(&self) {
         let now = self.now();
+        self.sockets.check(now);
         for id in self.fleet.borrow_mut().expire(now) {
             info!(target: "fleet", server:% = id; "server with a lapsed registration removed");
         }
@@ -365,6 +375,8 @@
             evacuated_zones: self.evacuations.borrow().zones().len(),
             waiting: self.queue.queue().borrow().len(),
             unread: self.unread.used(),
+            sockets: self.sockets.len(),
+            stalled: self.sockets.stalled(),
             rate_limited: self.rate_limits.borrow().limited(),
             cold: self.rate_limits.borrow().cold(self.now()),
             role: self.role.get(),
--- a/crates/gateway/src/gateway/suspects.rs
+++ b/crates/gateway/src/gateway/suspects.rs
@@ -9,7 +9,7 @@
 
 use crate::Gateway;
 use crate::http::Request;
-use crate::http::dial;
+use crate::socket::dial;
 use crate::suspect::CRASH_LIMIT;
 use crate::suspect::Crash;
 
--- a/crates/gateway/src/http/listener.rs
+++ b/crates/gateway/src/http/listener.rs
@@ -28,7 +28,7 @@
 use crate::http::Body;
 use crate::http::reply;
 use crate::http::run;
-use crate::http::set_socket_options;
+use crate::socket::set_socket_options;
 use crate::stop::Phase;
 
 /// Length of the accept queue, in connections.
@@ -143,7 +143,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size((limits.header.get() as usize).max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(gateway.sockets().open(stream)), service);
     let closable = async {
         first_request.notified().await;
         gateway.wait_until_finishing().await;
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -6,7 +6,6 @@
 
 mod admission;
 mod body;
-mod dial;
 mod head_limit;
 mod listener;
 mod place;
@@ -19,8 +18,6 @@
 mod verdict;
 
 pub use body::Memory as ResponseMemory;
-pub use dial::dial;
-pub use dial::set_socket_options;
 pub use listener::listen;
 pub use listener::serve_metrics;
 pub use listener::serve_ready;
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -14,8 +14,9 @@
 use kumquattiller_base::time::Moment;
 use tokio::task::JoinHandle;
 
-use crate::http::dial;
 use crate::http::head_limit;
+use crate::socket;
+use crate::socket::dial;
 
 /// Maximum time for which an idle connection is kept.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(2_500);
@@ -43,11 +44,12 @@
     ///
     /// Fails if the connection cannot be opened within `limit`.
     pub async fn open(
+        sockets: &socket::Table,
         server: &runner::Id,
         address: SocketAddr,
         limit: Duration,
     ) -> io::Result<Self> {
-        let stream = dial(address, limit).await?;
+        let stream = sockets.open(dial(address, limit).await?);
         let head_allowance = head_limit::Allowance::default();
         let stream = head_limit::Limited::new(stream, head_allowance.clone());
         let (sender, connection) = http1::Builder::new()
--- a/crates/gateway/src/http/send.rs
+++ b/crates/gateway/src/http/send.rs
@@ -82,10 +82,11 @@
         }
     }
     let limit = CONNECT_TIMEOUT.min(request.time_left(gateway.now()));
-    let connection = match Connection::open(&server.id, server.address, limit).await {
-        Ok(connection) => connection,
-        Err(error) => return Exchange::NotSent(error),
-    };
+    let connection =
+        match Connection::open(gateway.sockets(), &server.id, server.address, limit).await {
+            Ok(connection) => connection,
+            Err(error) => return Exchange::NotSent(error),
+        };
     gateway.metrics().connection_opened();
     gateway.wait_until_evacuations_confirmed().await;
     if let Some(exclusion) = gateway.withheld_from(request, server, helpers) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,7 +16,7 @@
 //!   streams into events), [`stop`] (phases of a graceful stop), [`pause`] (times in which the
 //!   process did not run), [`unread`] (responses that callers have not read yet);
 //! - I/O: [`queue`] (prompts that wait for room), [`http`] (the listener, connections to servers,
-//!   handling of a request), [`relay`] (streams), [`reservation`] (server memory reserved for
+//!   handling of a request), [`socket`] (connections, and which peers are dead), [`relay`] (streams), [`reservation`] (server memory reserved for
 //!   large prompts), [`peer`] (reports between daemons), [`observe`] (logs and metrics).
 //!
 //! A request is admitted and placed in [`http`]. Each attempt to send it to a server is a
@@ -52,6 +52,7 @@
 pub mod relay;
 pub mod reservation;
 pub mod settings;
+pub mod socket;
 pub mod stop;
 pub mod suspect;
 pub mod unread;
--- a/crates/gateway/src/observe/metrics.rs
+++ b/crates/gateway/src/observe/metrics.rs
@@ -16,6 +16,7 @@
 use crate::freshness::Role;
 use crate::health::Outcome;
 use crate::observe::StoreCall;
+use crate::observe::connections::Connections;
 use crate::observe::queue::Queue;
 use crate::prefix::Reuse;
 
@@ -47,7 +48,7 @@
     callers_disconnected: Counter,
     slow_callers: Counter,
     unread: Gauge,
-    connections: Counter,
+    connections: Connections,
     servers_leaving: Counter,
     servers_paused: Counter,
     rate_limits_stated: Counter,
@@ -90,7 +91,7 @@
             callers_disconnected: Counter::default(),
             slow_callers: Counter::default(),
             unread: Gauge::default(),
-            connections: Counter::default(),
+            connections: Connections::default(),
             servers_leaving: Counter::default(),
             servers_paused: Counter::default(),
             rate_limits_stated: Counter::default(),
@@ -174,7 +175,7 @@
             Unit::Bytes,
             self.unread.clone(),
         );
-        registry.register("connections", "Connections opened", self.connections.clone());
+        self.connections.register(registry);
         registry.register(
             "servers_leaving",
             "Servers that stated in a response that they are leaving",
@@ -297,7 +298,7 @@
 
     /// Counts a new connection to a server.
     pub fn connection_opened(&self) {
-        self.connections.inc();
+        self.connections.opened();
     }
 
     /// Counts a server that stated in a response that it is leaving.
@@ -350,6 +351,7 @@
         self.evacuated_zones.set(state.evacuated_zones as i64);
         self.queue.set_length(state.waiting);
         self.unread.set(state.unread.get() as i64);
+        self.connections.set(state.sockets, state.stalled);
         self.rate_limited.set(state.rate_limited as i64);
         self.cold.set(state.cold as i64);
         self.store_watcher.set(i64::from(state.role == Some(Role::Watcher)));
@@ -382,6 +384,10 @@
     pub waiting: usize,
     /// Parts of responses that callers have not read yet.
     pub unread: Bytes,
+    /// Open connections of callers and to servers.
+    pub sockets: usize,
+    /// Those whose peers are alive and do not read.
+    pub stalled: usize,
     /// Servers that state a rate limit.
     pub rate_limited: usize,
     /// Servers that are cold.
--- a/crates/gateway/src/observe/mod.rs
+++ b/crates/gateway/src/observe/mod.rs
@@ -1,5 +1,6 @@
 //! Logs and metrics of the process.
 
+mod connections;
 mod log;
 mod metrics;
 mod queue;
--- a/crates/gateway/src/peer/fetch.rs
+++ b/crates/gateway/src/peer/fetch.rs
@@ -15,10 +15,10 @@
 
 use crate::Gateway;
 use crate::freshness::Source;
-use crate::http::dial;
 use crate::peer::Document;
 use crate::peer::frames::MAX_MESSAGE_BYTES;
 use crate::peer::frames::framed;
+use crate::socket::dial;
 
 /// Delay before a newer version is fetched from a peer, in which the store may deliver it. The same
 /// delay is used before accepting connections again after an error.
--- a/crates/gateway/src/peer/sync.rs
+++ b/crates/gateway/src/peer/sync.rs
@@ -21,11 +21,11 @@
 use crate::freshness::Kind;
 use crate::freshness::Revision;
 use crate::freshness::Role;
-use crate::http::dial;
 use crate::peer::frames::MAX_MESSAGE_BYTES;
 use crate::peer::frames::framed;
 use crate::peer::transfer::Request;
 use crate::peer::transfer::Response;
+use crate::socket::dial;
 
 /// Longest delay before a peer is asked for a change, so that the peers that ask are spread over
 /// those that have it.
--- a/crates/gateway/src/reservation/call.rs
+++ b/crates/gateway/src/reservation/call.rs
@@ -21,7 +21,8 @@
     request: impl Fn(&Gateway) -> hyper::Request<Full<Bytes>>,
 ) -> Option<StatusCode> {
     let exchange = async {
-        let mut connection = Connection::open(&server.id, server.address, TIMEOUT).await?;
+        let mut connection =
+            Connection::open(gateway.sockets(), &server.id, server.address, TIMEOUT).await?;
         gateway.count_reservation_call(&server.id);
         let sent_at = gateway.now();
         let sent = connection.send(request(gateway)).await;
--- a/crates/gateway/src/http/dial.rs
+++ b/crates/gateway/src/socket/dial.rs
@@ -12,7 +12,7 @@
 /// Unanswered keepalive probes after which a connection is dropped.
 const KEEPALIVE_PROBES: u32 = 2;
 /// Time for which sent data may stay unacknowledged before a connection is dropped.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+pub const DEAD_AFTER: Duration = Duration::from_millis(2_000);
 
 /// Opens a TCP connection and sets its options with [`set_socket_options`].
 ///
@@ -39,5 +39,5 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(DEAD_AFTER))
 }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod replay;
 mod retry_budget;
 mod shapes;
+mod stalls;
 mod support;
 mod suspects;
 mod uneven;
