gateway: a stopping daemon takes only what ends in time at its server as it is

Cause: what still fits was decided at admission, before a server was chosen, by what an idle engine takes, and by one second for a service without a profile.

Else 503, truthfully not run, with Retry-After. Requests that may have run go on.

--- a/crates/base/src/attempt/state.rs
+++ b/crates/base/src/attempt/state.rs
@@ -53,6 +53,11 @@
         Self { request, number: Number::FIRST, never_lost: true, state: PhantomData }
     }
 
+    /// Returns whether an earlier attempt was lost, so that nobody knows whether it ran.
+    pub const fn may_have_run(&self) -> bool {
+        !self.never_lost
+    }
+
     /// Marks the attempt as sent, so that a runner may have started it.
     pub fn send(self) -> Attempt<Sent> {
         self.into_state()
--- a/crates/gateway/src/engine/profile.rs
+++ b/crates/gateway/src/engine/profile.rs
@@ -38,8 +38,13 @@
     /// Returns the length of a pass that decodes `sequences` with a total of `context` tokens and
     /// prefills nothing, in milliseconds.
     pub fn decode_pass_ms(&self, sequences: f64, context: Tokens) -> f64 {
+        self.step_ms_with(sequences, context) * f64::from(self.stride)
+    }
+
+    /// Returns the length of a step that decodes `sequences` with a total of `context` tokens, in
+    /// milliseconds.
+    pub fn step_ms_with(&self, sequences: f64, context: Tokens) -> f64 {
         let context = context.get() as f64 / CONTEXT_TOKENS_PER_UNIT * self.context_ms_per_k;
-        let step = self.step_ms + sequences * self.step_ms_per_sequence + context;
-        step * f64::from(self.stride)
+        self.step_ms + sequences * self.step_ms_per_sequence + context
     }
 }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod rate_limits;
 mod regions;
 mod requests;
+mod response_times;
 mod role;
 mod shutdown;
 mod state;
--- a/crates/gateway/src/gateway/shutdown.rs
+++ b/crates/gateway/src/gateway/shutdown.rs
@@ -6,6 +6,8 @@
 use tokio::sync::watch;
 
 use crate::Gateway;
+use crate::http::Request;
+use crate::placement::Placement;
 use crate::stop::LAST_POLL_INTERVAL;
 use crate::stop::POLL_INTERVAL;
 use crate::stop::Phase;
@@ -22,6 +24,13 @@
         self.stop.get().accepts(expected, self.now())
     }
 
+    /// Returns whether a request that has been placed ends before this daemon has to exit.
+    pub fn ends_before_exit(&self, request: &Request, placement: &Placement) -> bool {
+        let stop = self.stop.get();
+        let now = self.now();
+        stop.phase(now) == Phase::Serving || stop.fits(self.expected_time(request, placement), now)
+    }
+
     /// Returns the retry delay for a request that is refused during the stop. It is zero if another
     /// daemon accepts requests, otherwise the time until this one has restarted.
     pub fn stop_retry_delay(&self) -> Duration {
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -44,6 +44,7 @@
 use crate::prefix;
 use crate::queue;
 use crate::rate_limit;
+use crate::response_time;
 use crate::settings::Settings;
 use crate::socket;
 use crate::stop::Phase;
@@ -86,6 +87,8 @@
     pub(super) health: RefCell<Health>,
     pub(super) backoffs: RefCell<backoff::Table>,
     pub(super) paces: RefCell<pace::Table>,
+    /// How long the servers of each service without an engine profile take.
+    pub(super) response_times: RefCell<response_time::Table>,
     pub(super) rate_limits: RefCell<rate_limit::Table>,
     /// The daemons between which the rates of cold servers and the retry budget are divided.
     pub(super) roster: RefCell<peer::Roster>,
@@ -153,6 +156,7 @@
             health: RefCell::default(),
             backoffs: RefCell::default(),
             paces: RefCell::default(),
+            response_times: RefCell::default(),
             rate_limits: RefCell::default(),
             roster: RefCell::default(),
             prefixes: RefCell::default(),
--- a/crates/gateway/src/http/admission.rs
+++ b/crates/gateway/src/http/admission.rs
@@ -84,7 +84,7 @@
         return Err(refuse(Kind::NoRunner, NO_SERVICE_RETRY_DELAY));
     };
     let time_limit = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
-    if !gateway.accepts(expected_duration(metadata, &service, time_limit)) {
+    if !gateway.accepts(expected_duration(gateway, metadata, &service, time_limit)) {
         return Err(refuse_stopping(gateway));
     }
     let body = match read_body(body, &config, time_limit).await {
@@ -118,10 +118,15 @@
 
 /// Returns how long a request is expected to run. For an engine this is the time to prefill the
 /// prompt and to generate the longest response on an otherwise idle engine, at most `time_limit`.
-/// Any other request is expected to take a second, or `time_limit` if that is shorter.
-fn expected_duration(metadata: &RequestInfo, service: &Service, time_limit: Duration) -> Duration {
+/// Any other request is expected to take as long as the longest recent one of its service.
+fn expected_duration(
+    gateway: &Gateway,
+    metadata: &RequestInfo,
+    service: &Service,
+    time_limit: Duration,
+) -> Duration {
     let (Some(profile), Some(prompt)) = (&service.engine, &metadata.prompt) else {
-        return time_limit.min(Duration::from_secs(1));
+        return time_limit.min(gateway.expected_plain_time(&service.name));
     };
     let decode_ms = prompt.max_output.get() as f64 * profile.step_ms;
     Duration::from_secs_f64((profile.prefill_ms(prompt.tokens) + decode_ms) / 1e3).min(time_limit)
--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -112,6 +112,9 @@
             Some(Err(unplaced)) => return Err(decline(gateway, request, attempt, unplaced)),
             Some(Ok(_)) | None => return Err(refuse_stopping(gateway, attempt)),
         };
+        if !attempt.may_have_run() && !gateway.ends_before_exit(request, &placement) {
+            return Err(refuse_stopping(gateway, attempt));
+        }
         tried.push(placement.server.clone());
         let dispatch = Dispatch::start(gateway, request, &placement, reservations);
         if let Some(waiting) = ticket.take() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,7 +12,8 @@
 //!   server), [`prefix`] (prompt beginnings that servers still hold), [`placement`] (choice of
 //!   server and helpers, or a refusal), [`budget`] (retries), [`health`] (failing servers),
 //!   [`backoff`] (pauses that servers ask for), [`rate_limit`] (rates that they state), [`pace`]
-//!   (how fast they are), [`suspect`] (requests that crash servers), [`events`] (splitting
+//!   (how fast they are), [`response_time`] (how long services without a
+//!   profile take), [`suspect`] (requests that crash servers), [`events`] (splitting
 //!   streams into events), [`stop`] (phases of a graceful stop), [`pause`] (times in which the
 //!   process did not run), [`unread`] (responses that callers have not read yet);
 //! - I/O: [`queue`] (prompts that wait for room), [`http`] (the listener, connections to servers,
@@ -51,6 +52,7 @@
 pub mod regions;
 pub mod relay;
 pub mod reservation;
+pub mod response_time;
 pub mod settings;
 pub mod socket;
 pub mod stop;
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -8,6 +8,7 @@
 mod bound;
 mod candidate;
 mod division;
+mod expected;
 mod holder;
 mod joint;
 mod plain;
@@ -19,6 +20,7 @@
 pub use bound::CostBound;
 pub use candidate::Candidate;
 pub use division::Division;
+pub use expected::expected_response;
 pub use joint::fits_jointly;
 pub use joint::has_free_memory;
 pub use joint::max_participants;
--- a/crates/gateway/src/relay/dispatch.rs
+++ b/crates/gateway/src/relay/dispatch.rs
@@ -202,6 +202,10 @@
     }
 
     fn update_health(&self, outcome: Outcome) {
+        if matches!(outcome, Outcome::Good | Outcome::Failed | Outcome::Silent) {
+            let time = self.gateway.now().since(self.started);
+            self.gateway.record_response_time(&self.request, time);
+        }
         self.gateway.record_outcome(&self.placement.server, outcome);
     }
 }
--- a/crates/gateway/src/stop/mod.rs
+++ b/crates/gateway/src/stop/mod.rs
@@ -32,6 +32,9 @@
 /// Multiple of its expected duration that must remain for a request to be accepted in
 /// [`Phase::Finishing`].
 const FIT_FACTOR: u32 = 2;
+/// The same for a request that has been placed, whose expected duration takes its server's load into
+/// account. Others may be placed there later.
+const PLACED_FIT_FACTOR: f64 = 1.5;
 
 /// Phase of a daemon, which determines how it treats requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
@@ -85,6 +88,16 @@
         }
     }
 
+    /// Returns whether a request that has been placed, and is expected to run for `expected`, ends in
+    /// time.
+    pub fn fits(&self, expected: Duration, now: Moment) -> bool {
+        let Some(requested_at) = self.requested_at else {
+            return true;
+        };
+        let left = (requested_at + self.grace).since(now).saturating_sub(EXIT_RESERVE);
+        self.phase(now) != Phase::Over && expected < left.div_f64(PLACED_FIT_FACTOR)
+    }
+
     /// Returns whether the process must exit, also if responses are not fully written.
     pub fn must_exit(&self, now: Moment) -> bool {
         self.requested_at.is_some_and(|at| now.since(at) + EXIT_MARGIN >= self.grace)
