reservation: memory is released until no call for it can come late

Cause: a call without a response may be carried out seconds later. A late renewal makes a reservation anew that has been released, and a release was given up after three calls without a response. Also: renewals of one prompt were made one after the other, so that servers that hang delayed those of the others; and the head of a response counted as a sign that the memory is used.

Change: reservation::Release. Renewals go out together. Only events count as use. The log says how many calls got no response.

--- a/crates/gateway/src/http/run.rs
+++ b/crates/gateway/src/http/run.rs
@@ -249,7 +249,6 @@
 ) -> AttemptResult {
     let (status, position) = (received.head.status, received.position);
     let verdict = classify(&request.metadata.id, status, &received.info, position);
-    dispatch.record_use();
     match verdict {
         Verdict::Foreign => {
             dispatch.record_outcome(
--- a/crates/gateway/src/reservation/held.rs
+++ b/crates/gateway/src/reservation/held.rs
@@ -10,13 +10,12 @@
 use crate::Gateway;
 use crate::dialect::Reservation;
 use crate::fleet::Server;
+use crate::reservation::Call;
+use crate::reservation::Release;
 use crate::reservation::Usage;
 use crate::reservation::call;
 use crate::reservation::renewal;
 
-/// Number of attempts to release a reservation.
-const MAX_RELEASE_ATTEMPTS: u32 = 3;
-
 /// A reservation that a server holds, or may hold if it did not respond. Clones stand for the same
 /// one.
 #[derive(Debug, Clone)]
@@ -24,6 +23,8 @@
     pub(super) server: Server,
     pub(super) reservation: Reservation,
     expires_at: Rc<Cell<Moment>>,
+    /// When the last call to make or renew it was sent that got no response.
+    unanswered_at: Rc<Cell<Option<Moment>>>,
     /// Until when the memory stays reserved without a sign of use.
     usage: Rc<Usage>,
 }
@@ -37,7 +38,7 @@
         now: Moment,
     ) -> Self {
         let expires_at = Rc::new(Cell::new(now + reservation.hold));
-        Self { server, reservation, expires_at, usage }
+        Self { server, reservation, expires_at, unanswered_at: Rc::default(), usage }
     }
 
     /// Makes the reservation; returns the status, or `None` if there is no response.
@@ -47,7 +48,16 @@
 
     async fn reserve(&self, gateway: &Gateway, reservation: &Reservation) -> Option<StatusCode> {
         let server = &self.server;
-        call(gateway, server, |g| g.dialect().reserve(&server.id, reservation)).await
+        let sent_at = gateway.now();
+        let reserving = call(gateway, server, |g| g.dialect().reserve(&server.id, reservation));
+        match reserving.await {
+            Call::Answered(status) => Some(status),
+            Call::NotSent => None,
+            Call::Unanswered => {
+                self.unanswered_at.set(Some(sent_at));
+                None
+            }
+        }
     }
 
     /// Renews the reservation if that is due and not past the time until which its memory may show no
@@ -76,9 +86,16 @@
         (lifetime > left).then_some(lifetime)
     }
 
-    /// Releases the reservation, unless it expires before the server may be called.
+    /// Releases the reservation until the server can hold nothing for it any more, unless it expires
+    /// before the server may be called.
     pub(super) async fn release(self, gateway: &Gateway) {
-        for _ in 0..MAX_RELEASE_ATTEMPTS {
+        let mut release = Release::new(self.expires_at.get(), self.unanswered_at.get());
+        let mut unanswered = 0;
+        while let Some(at) = release.next_call(gateway.now()) {
+            tokio::time::sleep_until(gateway.instant(at)).await;
+            if self.has_server_restarted(gateway) {
+                break;
+            }
             if !self.wait_until_allowed(gateway).await {
                 info!(
                     target: "fleet", server:% = self.server.id;
@@ -87,14 +104,25 @@
                 return;
             }
             let (server, ticket) = (&self.server, &self.reservation.ticket);
-            if call(gateway, server, |g| g.dialect().release(&server.id, ticket)).await.is_some() {
-                return;
-            }
+            let released = call(gateway, server, |g| g.dialect().release(&server.id, ticket)).await;
+            let is_answered = matches!(released, Call::Answered(_));
+            unanswered += u32::from(!is_answered);
+            release.record_call(gateway.now(), is_answered);
+        }
+        if unanswered > 0 || self.unanswered_at.get().is_some() {
+            info!(
+                target: "fleet", server:% = self.server.id, ticket = self.reservation.ticket,
+                unanswered_releases = unanswered, may_come_late = self.unanswered_at.get().is_some();
+                "reservation is over after calls without a response"
+            );
         }
-        warn!(
-            target: "fleet", server:% = self.server.id, ticket = self.reservation.ticket;
-            "reservation could not be released"
-        );
+    }
+
+    /// Returns whether the server has started again since, so that it holds nothing.
+    fn has_server_restarted(&self, gateway: &Gateway) -> bool {
+        let fleet = gateway.fleet().borrow();
+        let server = fleet.server(&self.server.id);
+        server.is_some_and(|server| server.start_key() != self.server.start_key())
     }
 
     /// Waits until the server may be called; returns whether the reservation is still held then.
--- a/crates/gateway/src/reservation/mod.rs
+++ b/crates/gateway/src/reservation/mod.rs
@@ -11,6 +11,9 @@
 //! Memory that shows no use for too long is given back (`Usage`): the reservations are not renewed
 //! beyond that time, and the attempt ends then (`Dispatch::deadline`), whatever it waits for.
 //!
+//! A call without a response may be carried out seconds later, so the daemon releases a reservation
+//! until nothing can be held for it any more ([`release`]).
+//!
 //! A server that has asked for a pause gets no new reservation. One that it already holds is renewed
 //! once, until after the pause, and released when the server may be called.
 //!
@@ -19,12 +22,15 @@
 
 mod call;
 mod held;
+pub mod release;
 pub mod renewal;
 mod reservations;
 mod usage;
 
+use call::Call;
 use call::call;
 use held::Held;
+use release::Release;
 pub use reservations::NoMemory;
 pub use reservations::Reservations;
 use usage::Usage;
--- a/crates/gateway/src/reservation/reservations.rs
+++ b/crates/gateway/src/reservation/reservations.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use hyper::StatusCode;
 use kumquattiller_base::runner;
 use kumquattiller_base::size::Tokens;
@@ -156,8 +157,6 @@
 async fn renew(gateway: Rc<Gateway>, held: Vec<Held>) {
     loop {
         tokio::time::sleep(renewal::CHECK_INTERVAL).await;
-        for reservation in &held {
-            reservation.renew_if_due(&gateway).await;
-        }
+        join_all(held.iter().map(|reservation| reservation.renew_if_due(&gateway))).await;
     }
 }
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod rate_shares;
 mod regions;
 mod replay;
+mod reservations;
 mod retry_budget;
 mod shapes;
 mod stalls;
