clients: a response without end is given up, not kept

Cause: bodies were read whole, without a limit, and the parser of events keeps an event until its end. Heads are limited by the HTTP client.

Change: a body may have 16 MB, as on the other path, and all bodies of a process 64 MB while they are read; an event may have 1 MB.

--- a/crates/clients/src/engine/client.rs
+++ b/crates/clients/src/engine/client.rs
@@ -38,7 +38,7 @@
     /// Fails when the engine rejects the call or does not respond.
     pub async fn complete(&self, completion: &engine::Completion) -> Result<Events, Error> {
         let request = self.transport.http().post(self.endpoint("/v1/completions")).json(completion);
-        Ok(Events::new(send(request).await?))
+        Ok(Events::new(self.send(request).await?))
     }
 
     /// Resumes reading a stream at token `offset`.
@@ -48,7 +48,7 @@
     /// Fails when the engine does not have the stream or does not respond.
     pub async fn resume(&self, stream: &str, offset: u64) -> Result<Events, Error> {
         let path = format!("/v1/streams/{stream}?offset={offset}");
-        Ok(Events::new(send(self.transport.http().get(self.endpoint(&path))).await?))
+        Ok(Events::new(self.send(self.transport.http().get(self.endpoint(&path))).await?))
     }
 
     /// Cancels a stream and frees its memory; an unknown stream is not an error.
@@ -66,7 +66,8 @@
     ///
     /// Fails when the engine rejects the call or does not respond.
     pub async fn prefill(&self, prefill: &engine::Prefill) -> Result<engine::Handle, Error> {
-        send_for_json(self.transport.http().post(self.endpoint("/v1/prefill")).json(prefill)).await
+        self.send_for_json(self.transport.http().post(self.endpoint("/v1/prefill")).json(prefill))
+            .await
     }
 
     /// Lets other engines read the KV cache of a handle on this engine.
@@ -78,8 +79,10 @@
     /// Fails when the engine does not have the handle or does not respond.
     pub async fn export(&self, handle: &str) -> Result<engine::Handle, Error> {
         let path = format!("/v1/kv/{handle}/export");
-        send_for_json(self.with_control_timeout(self.transport.http().post(self.endpoint(&path))))
-            .await
+        self.send_for_json(
+            self.with_control_timeout(self.transport.http().post(self.endpoint(&path))),
+        )
+        .await
     }
 
     /// Copies an exported KV cache of another engine to this one.
@@ -88,7 +91,8 @@
     ///
     /// Fails when the engine rejects the call or does not respond.
     pub async fn import(&self, handle: &engine::Handle) -> Result<engine::Handle, Error> {
-        send_for_json(self.transport.http().post(self.endpoint("/v1/kv/import")).json(handle)).await
+        self.send_for_json(self.transport.http().post(self.endpoint("/v1/kv/import")).json(handle))
+            .await
     }
 
     /// Frees the KV cache of a handle; an unknown handle is not an error.
@@ -144,14 +148,15 @@
     ///
     /// Fails when the engine rejects the call or does not respond.
     pub async fn order(&self, order: &engine::Order) -> Result<engine::State, Error> {
-        send_for_json(self.transport.http().post(self.endpoint("/v1/orders")).json(order)).await
+        self.send_for_json(self.transport.http().post(self.endpoint("/v1/orders")).json(order))
+            .await
     }
 
     /// Returns whether the engine responds to its health check.
     pub async fn is_alive(&self) -> bool {
         let request =
             self.with_control_timeout(self.transport.http().get(self.endpoint("/healthz")));
-        send(request).await.is_ok()
+        self.send(request).await.is_ok()
     }
 
     fn endpoint(&self, path: &str) -> String {
@@ -163,33 +168,39 @@
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
-        send_for_json(self.with_control_timeout(self.transport.http().get(self.endpoint(path))))
-            .await
+        self.send_for_json(
+            self.with_control_timeout(self.transport.http().get(self.endpoint(path))),
+        )
+        .await
     }
 
     async fn delete(&self, path: &str) -> Result<(), Error> {
-        send(self.with_control_timeout(self.transport.http().delete(self.endpoint(path))))
+        self.send(self.with_control_timeout(self.transport.http().delete(self.endpoint(path))))
             .await
             .map(|_| ())
     }
-}
 
-/// Sends a request and maps its status to a result.
-async fn send(request: RequestBuilder) -> Result<Response, Error> {
-    let response = request.send().await.map_err(|error| Fault::from_http_error(&error))?;
-    let status = response.status();
-    if status.is_success() {
-        return Ok(response);
-    }
-    let body = response.text().await.unwrap_or_default();
-    match serde_json::from_str(&body) {
-        Ok(error) => Err(Error::Refused(error)),
-        Err(_) => Err(Fault::Malformed(format!("status {status} without an error body")).into()),
+    /// Sends a request and maps its status to a result.
+    async fn send(&self, request: RequestBuilder) -> Result<Response, Error> {
+        let response = request.send().await.map_err(|error| Fault::from_http_error(&error))?;
+        let status = response.status();
+        if status.is_success() {
+            return Ok(response);
+        }
+        match self.transport.read_json(response).await {
+            Ok(error) => Err(Error::Refused(error)),
+            Err(_) => {
+                Err(Fault::Malformed(format!("status {status} without an error body")).into())
+            }
+        }
+    }
+
+    /// Sends a request and deserializes the response body.
+    async fn send_for_json<T: DeserializeOwned>(
+        &self,
+        request: RequestBuilder,
+    ) -> Result<T, Error> {
+        let response = self.send(request).await?;
+        Ok(self.transport.read_json(response).await?)
     }
 }
-
-/// Sends a request and deserializes the response body.
-async fn send_for_json<T: DeserializeOwned>(request: RequestBuilder) -> Result<T, Error> {
-    let response = send(request).await?;
-    Ok(response.json().await.map_err(|error| Fault::from_http_error(&error))?)
-}
--- a/crates/clients/src/engine/events.rs
+++ b/crates/clients/src/engine/events.rs
@@ -1,11 +1,13 @@
 use std::pin::Pin;
 
+use eventsource_stream::EventStreamError;
 use eventsource_stream::Eventsource;
 use futures::Stream;
 use futures::StreamExt;
 use kumquattiller_dialect::engine::Event;
 
 use crate::Fault;
+use crate::engine::limit::Limit;
 
 /// Data of the event that ends a stream.
 const END_DATA: &str = "[DONE]";
@@ -19,8 +21,14 @@
 
 impl Events {
     pub(crate) fn new(response: reqwest::Response) -> Self {
-        let data = response.bytes_stream().eventsource().map(|item| match item {
+        let mut limit = Limit::default();
+        let bytes = response.bytes_stream().map(move |item| match item {
+            Ok(bytes) => limit.count(bytes),
+            Err(error) => Err(Fault::Lost(error.to_string())),
+        });
+        let data = bytes.eventsource().map(|item| match item {
             Ok(event) => Ok(event.data),
+            Err(EventStreamError::Transport(fault)) => Err(fault),
             Err(error) => Err(Fault::Lost(error.to_string())),
         });
         Self { data: Box::pin(data) }
--- a/crates/clients/src/engine/mod.rs
+++ b/crates/clients/src/engine/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod error;
 mod events;
+mod limit;
 
 pub use client::Client;
 pub use error::Error;
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Fault::Unsent`] means that nothing reached the server, [`Fault::Lost`] that the request may
 //! have. Adapters never retry; the caller decides whether that is safe.
 
+mod body;
 pub mod configuration;
 pub mod engine;
 mod fault;
--- a/crates/clients/src/service/client.rs
+++ b/crates/clients/src/service/client.rs
@@ -43,7 +43,7 @@
         let response = request.send().await.map_err(|error| Fault::from_http_error(&error))?;
         let status = response.status().as_u16();
         let content_type = content_type_of(&response);
-        let body = response.bytes().await.map_err(|error| Fault::Lost(error.to_string()))?;
+        let body = self.transport.read(response).await?;
         Ok(Response { status, content_type, body })
     }
 
