--- a/crates/gateway/src/socket/stall.rs
+++ b/crates/gateway/src/socket/stall.rs
@@ -11,7 +11,7 @@
 /// Time that the system is granted beyond the present length of a stall.
 const GRANT: Duration = Duration::from_millis(2_500);
 /// Longest time from the last acknowledgement of a peer with a closed window until its connection is
-/// ended: the last extension comes [`ALIVE_AFTER_ACKNOWLEDGEMENT`] after it and grants [`GRANT`].
+/// ended: the last extension comes three seconds after it, and the system waits for 2.5 s more.
 pub const DEAD_WHILE_STALLED: Duration = Duration::from_millis(6_000);
 
 /// A connection on which data has been sent: whether its peer takes it, does not read, or is dead.
