--- a/crates/gateway/src/socket/stall.rs
+++ b/crates/gateway/src/socket/stall.rs
@@ -6,10 +6,10 @@
 use crate::socket::Report;
 
 /// Time after an acknowledgement for which a peer whose window is closed counts as alive. The system
-/// probes the window at least every [`GRANT`].
+/// probes the window at least every [`EXTENSION`].
 const ALIVE_AFTER_ACKNOWLEDGEMENT: Duration = Duration::from_millis(3_000);
 /// Time that the system is granted beyond the present length of a stall.
-const GRANT: Duration = Duration::from_millis(2_500);
+const EXTENSION: Duration = Duration::from_millis(2_500);
 /// Longest time from the last acknowledgement of a peer with a closed window until its connection is
 /// ended: the last extension comes three seconds after it, and the system waits for 2.5 s more.
 pub const DEAD_WHILE_STALLED: Duration = Duration::from_millis(6_000);
@@ -37,7 +37,7 @@
             return None;
         }
         self.is_extended = true;
-        Some(stalled_for + GRANT)
+        Some(stalled_for + EXTENSION)
     }
 
     /// Returns whether the peer is alive and does not read.
