--- a/crates/gateway/src/socket/report.rs
+++ b/crates/gateway/src/socket/report.rs
@@ -60,6 +60,10 @@
     /// # Errors
     ///
     /// Fails if the system has no report on the socket.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the report is shorter than every version of Linux makes it.
     pub fn read(socket: &impl AsFd) -> io::Result<Self> {
         Ok(getsockopt(socket, TcpInfo)?.into())
     }
